--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/allowance/package-info.java
@@ -0,0 +1,2 @@
+/** Rates and bursts of customers, shared by all VMs. */
+package org.toucanmast.core.allowance;
--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Waiting work, served fairly by customer. */
+package org.toucanmast.core.fairness;
--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of an endpoint for a request. */
+package org.toucanmast.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** Session tokens and the check that an answer covers them. */
+package org.toucanmast.core.session;
