--- a/core/src/main/java/org/toucanmast/core/allowance/AskBatcher.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/AskBatcher.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Requests that wait for a token of another VM's bucket, batched into asks.
@@ -27,7 +28,7 @@
    */
   public record Ask(long id, Map<String, Integer> counts) {}
 
-  private record Waiting<T>(T item, long deadline) {}
+  private record Waiting<T>(T item, long since, long deadline) {}
 
   private record Pending(long sentAt, Map<String, Integer> counts) {}
 
@@ -46,11 +47,11 @@
     this.grantLife = grantLife;
   }
 
-  /** Adds a request that waits for one token until its deadline. */
-  public void add(String customer, T item, long deadline) {
+  /** Adds a request that waits for one token from now until its deadline. */
+  public void add(String customer, T item, long now, long deadline) {
     waiting
         .computeIfAbsent(customer, name -> new ArrayDeque<>())
-        .addLast(new Waiting<>(item, deadline));
+        .addLast(new Waiting<>(item, now, deadline));
   }
 
   /** Returns the customers for whom requests wait. */
@@ -136,24 +137,36 @@
   /** Removes and returns the requests whose deadline has passed. */
   public List<T> expireRequests(long now) {
     List<T> expired = new ArrayList<>();
-    Iterator<Deque<Waiting<T>>> queues = waiting.values().iterator();
-    while (queues.hasNext()) {
-      Deque<Waiting<T>> queue = queues.next();
-      queue.removeIf(
-          request -> {
-            boolean late = now - request.deadline() >= 0;
-            if (late) {
-              expired.add(request.item());
-            }
-            return late;
-          });
-      if (queue.isEmpty()) {
-        queues.remove();
-      }
+    for (String customer : customers()) {
+      expired.addAll(removeIf(customer, request -> now - request.deadline() >= 0));
     }
     return expired;
   }
 
+  /**
+   * Removes and returns the requests of a customer that began to wait at or before the given time.
+   */
+  public List<T> removeSince(String customer, long time) {
+    return removeIf(customer, request -> request.since() - time <= 0);
+  }
+
+  private List<T> removeIf(String customer, Predicate<Waiting<T>> condition) {
+    Deque<Waiting<T>> queue = waiting.getOrDefault(customer, new ArrayDeque<>());
+    List<T> removed = new ArrayList<>();
+    Iterator<Waiting<T>> iterator = queue.iterator();
+    while (iterator.hasNext()) {
+      Waiting<T> request = iterator.next();
+      if (condition.test(request)) {
+        removed.add(request.item());
+        iterator.remove();
+      }
+    }
+    if (queue.isEmpty()) {
+      waiting.remove(customer);
+    }
+    return removed;
+  }
+
   private void settle(Pending answered) {
     answered
         .counts()
--- a/core/src/main/java/org/toucanmast/core/allowance/Holder.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/Holder.java
@@ -23,10 +23,15 @@
    */
   public record Lease(long until, double fraction, LendingView view) {}
 
+  private record Held(Allowance whole, TokenBucket bucket) {}
+
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+
   private final String self;
   private final long grantLife;
   private final Map<String, Lease> leases = new HashMap<>();
-  private final Map<String, TokenBucket> buckets = new HashMap<>();
+  private final Map<String, Held> buckets = new HashMap<>();
+  private final Map<String, Double> fractions = new HashMap<>();
 
   /**
    * Creates a holder to which nothing is lent.
@@ -41,13 +46,25 @@
   }
 
   /** Takes in what an owner lends; replaces what it lent before. */
-  public void onLease(String owner, Lease lease) {
-    leases.put(owner, lease);
+  public void onLease(String owner, Lease lease, long now) {
+    expire(now);
+    Lease earlier = leases.put(owner, lease);
+    boolean same =
+        earlier != null
+            && earlier.fraction() == lease.fraction()
+            && earlier.view().equals(lease.view());
+    if (!same) {
+      cut(now);
+    }
+    expire(now);
   }
 
   /** Takes in that an owner lends nothing any more. */
-  public void onWithdrawn(String owner) {
-    leases.remove(owner);
+  public void onWithdrawn(String owner, long now) {
+    expire(now);
+    if (leases.remove(owner) != null) {
+      cut(now);
+    }
   }
 
   /**
@@ -58,54 +75,74 @@
    */
   public int take(String customer, Allowance allowance, int count, long now) {
     double fraction = fractionOf(customer, now);
-    if (fraction <= 0) {
-      buckets.remove(customer);
-      return 0;
-    }
-    return bucketOf(customer, allowance, fraction, now).take(count, now);
-  }
-
-  /** Returns how long it takes until a token is there, in nanoseconds; -1 when nothing is lent. */
-  public long nanosecondsToNext(String customer, Allowance allowance, long now) {
-    double fraction = fractionOf(customer, now);
-    if (fraction <= 0) {
-      return -1;
-    }
-    return bucketOf(customer, allowance, fraction, now).nanosecondsToNext(now);
+    return fraction <= 0 ? 0 : bucketOf(customer, allowance, fraction, now).take(count, now);
   }
 
   /** Drops the buckets of customers that no longer exist. */
   public void retain(Predicate<String> exists) {
     buckets.keySet().removeIf(exists.negate());
+    fractions.keySet().removeIf(exists.negate());
   }
 
-  /** Cuts every bucket to the leases still in force, so that a pause earns nothing. */
+  /** Lets leases run out; after a pause this comes before anything is given out. */
   public void tick(long now) {
-    leases.values().removeIf(lease -> now - lease.until() >= 0);
+    expire(now);
   }
 
   /** Returns the part of a customer's allowance that is lent here. */
   public double fractionOf(String customer, long now) {
+    expire(now);
+    return fractions.computeIfAbsent(customer, this::sumOfLeases);
+  }
+
+  private double sumOfLeases(String customer) {
     double fraction = 0;
     for (Lease lease : leases.values()) {
-      boolean inForce = now - lease.until() < 0;
-      if (inForce && lease.view().holderOf(customer).filter(self::equals).isPresent()) {
+      if (lease.view().holderOf(customer).filter(self::equals).isPresent()) {
         fraction += lease.fraction();
       }
     }
     return Math.min(1, fraction);
   }
 
-  private TokenBucket bucketOf(String customer, Allowance allowance, double fraction, long now) {
-    Allowance held = keepBack(allowance).times(fraction);
-    TokenBucket bucket =
-        buckets.computeIfAbsent(customer, name -> new TokenBucket(held, 0, now));
-    bucket.resize(held, now);
-    return bucket;
+  private void expire(long now) {
+    if (leases.values().removeIf(lease -> now - lease.until() >= 0)) {
+      cut(now);
+    }
+  }
+
+  /** Brings every bucket to the shares that are lent now; tokens are only ever lost by this. */
+  private void cut(long now) {
+    fractions.clear();
+    buckets
+        .entrySet()
+        .removeIf(
+            entry -> {
+              double fraction = sumOfLeases(entry.getKey());
+              if (fraction > 0) {
+                Held held = entry.getValue();
+                held.bucket().resize(keepBack(held.whole()).times(fraction), now);
+              }
+              return fraction <= 0;
+            });
+  }
+
+  private TokenBucket bucketOf(String customer, Allowance whole, double fraction, long now) {
+    Held held = buckets.get(customer);
+    if (held == null) {
+      Allowance part = keepBack(whole).times(fraction);
+      held = new Held(whole, new TokenBucket(part, 0, now));
+      buckets.put(customer, held);
+    } else if (!held.whole().equals(whole)) {
+      held = new Held(whole, held.bucket());
+      held.bucket().resize(keepBack(whole).times(fraction), now);
+      buckets.put(customer, held);
+    }
+    return held.bucket();
   }
 
   private Allowance keepBack(Allowance allowance) {
-    double kept = allowance.rate() * grantLife / 1e9;
+    double kept = allowance.rate() * grantLife / NANOSECONDS_PER_SECOND;
     return new Allowance(allowance.rate(), Math.max(1, allowance.burst() - kept));
   }
 }
--- a/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
@@ -158,12 +158,20 @@
     List<EndpointDescription> members =
         section.getEndpointsList().stream().filter(endpoints::containsKey).map(endpoints::get)
             .toList();
+    String preferred = section.getPreferredPrimary();
+    if (!preferred.isEmpty() && !section.getEndpointsList().contains(preferred)) {
+      reader.report("database " + name, "preferred-primary", "is not one of the endpoints");
+    }
     if (section.getAcknowledge().isEmpty()) {
       return;
     }
     databases.put(
         name,
-        new Database(name, members, AcknowledgementRule.ofSetting(section.getAcknowledge())));
+        new Database(
+            name,
+            members,
+            AcknowledgementRule.ofSetting(section.getAcknowledge()),
+            section.getPreferredPrimary()));
   }
 
   private void compileRoute(String name, Map<String, String> values) {
--- a/core/src/main/java/org/toucanmast/core/configuration/Database.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/Database.java
@@ -9,9 +9,13 @@
  * @param name its name
  * @param endpoints its endpoints
  * @param rule when a write counts as done
+ * @param preferredPrimary the endpoint that operators want as primary, or an empty text
  */
 public record Database(
-    String name, List<EndpointDescription> endpoints, AcknowledgementRule rule) {
+    String name,
+    List<EndpointDescription> endpoints,
+    AcknowledgementRule rule,
+    String preferredPrimary) {
   /** Keeps a copy of the endpoints. */
   public Database {
     endpoints = List.copyOf(endpoints);
--- a/core/src/main/java/org/toucanmast/core/request/Refusal.java
+++ b/core/src/main/java/org/toucanmast/core/request/Refusal.java
@@ -1,5 +1,7 @@
 package org.toucanmast.core.request;
 
+import java.util.Locale;
+
 /** Why a request was not answered with a result; each one states the outcome it implies. */
 public enum Refusal {
   /** The request is not well formed. */
@@ -12,8 +14,14 @@
   NOT_FOUND(404, Outcome.NOT_RUN, "there is nothing at this path"),
   /** The transaction is gone and was rolled back. */
   ROLLED_BACK(409, Outcome.NOT_RUN, "the transaction was rolled back"),
+  /** Another statement of the transaction is running. */
+  TRANSACTION_BUSY(409, Outcome.NOT_RUN, "another statement of the transaction is running"),
   /** The session has seen a write that a change of primary lost. */
   LOST_WRITE(409, Outcome.NOT_RUN, "the session has seen a write that was lost"),
+  /** The request did not arrive whole in time. */
+  TOO_SLOW(408, Outcome.NOT_RUN, "the request did not arrive whole in time"),
+  /** The request is larger than the limit of the settings. */
+  TOO_LARGE(413, Outcome.NOT_RUN, "the request is too large"),
   /** The statement was refused by the database. */
   REFUSED_BY_DATABASE(422, Outcome.NOT_RUN, "the database refused the statement"),
   /** The customer is above its allowance. */
@@ -56,6 +64,6 @@
 
   /** Returns the word that callers see, for example {@code over-allowance}. */
   public String code() {
-    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -0,0 +1,238 @@
+package org.toucanmast.runtime.allowance;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.toucanmast.core.allowance.AskBatcher;
+import org.toucanmast.core.allowance.AskBatcher.Ask;
+import org.toucanmast.core.allowance.Holder;
+import org.toucanmast.core.allowance.LendingView;
+import org.toucanmast.core.configuration.Allowance;
+import org.toucanmast.core.configuration.FleetConfiguration;
+import org.toucanmast.core.membership.Epoch;
+import org.toucanmast.core.request.RefusedException;
+import org.toucanmast.core.request.Refusal;
+import org.toucanmast.schema.PeerMessage;
+import org.toucanmast.schema.TokenAsk;
+import org.toucanmast.schema.TokenCount;
+import org.toucanmast.schema.TokenGrant;
+
+/**
+ * Admits requests against the allowances that all VMs share: from the bucket that this VM holds, or
+ * by asking the holder.
+ *
+ * <p>A request waits a moment for a token rather than being refused at once, and longer while its
+ * holder is changing.
+ */
+public final class AllowanceDuty {
+  /** How long a token may be used after it was asked for, in nanoseconds. */
+  public static final long GRANT_LIFE = 50_000_000;
+
+  private static final long WAIT_WHEN_EMPTY_IN_NANOSECONDS = 30_000_000;
+  private static final long WAIT_WHEN_UNANSWERED_IN_NANOSECONDS = 1_500_000_000;
+
+  private final Vertx vertx;
+  private final String self;
+  private final Holder holder;
+  private final AskBatcher<Promise<Void>> batcher = new AskBatcher<>(GRANT_LIFE);
+  private final BiPredicate<String, PeerMessage> sender;
+  private final Supplier<LendingView> view;
+  private final LongSupplier clock;
+  private Map<String, Allowance> allowances = Map.of();
+  private boolean flushScheduled;
+  private long asks;
+
+  /**
+   * Creates the duty.
+   *
+   * @param holder the buckets that this VM holds
+   * @param view whom this VM asks
+   * @param sender sends a message to a peer
+   */
+  public AllowanceDuty(
+      Vertx vertx,
+      String self,
+      Holder holder,
+      Supplier<LendingView> view,
+      BiPredicate<String, PeerMessage> sender,
+      LongSupplier clock) {
+    this.vertx = vertx;
+    this.self = self;
+    this.holder = holder;
+    this.view = view;
+    this.sender = sender;
+    this.clock = clock;
+  }
+
+  /** Takes in a revision of the configuration. */
+  public void update(FleetConfiguration configuration) {
+    allowances = configuration.allowances();
+    holder.retain(allowances::containsKey);
+  }
+
+  /** Returns how many asks were sent. */
+  public long asks() {
+    return asks;
+  }
+
+  /**
+   * Takes one token.
+   *
+   * @param customer the name under which the allowance is counted
+   * @param deadline when the request ends, in nanoseconds
+   * @return completes when the request may go on; fails with {@link RefusedException}
+   */
+  public Future<Void> admit(String customer, long deadline) {
+    Allowance allowance = allowances.get(customer);
+    if (allowance == null) {
+      return Future.failedFuture(new RefusedException(Refusal.FORBIDDEN));
+    }
+    long now = clock.getAsLong();
+    boolean firstInLine = batcher.missing(customer) == 0;
+    if (holds(customer) && firstInLine && holder.take(customer, allowance, 1, now) == 1) {
+      return Future.succeededFuture();
+    }
+    Promise<Void> promise = Promise.promise();
+    long latest = now + WAIT_WHEN_UNANSWERED_IN_NANOSECONDS;
+    batcher.add(customer, promise, now, latest - deadline < 0 ? latest : deadline);
+    scheduleFlush();
+    return promise.future();
+  }
+
+  /** Answers a peer's ask; says nothing of customers whose shares are not lent here. */
+  public void onAsk(String peer, TokenAsk ask) {
+    long now = clock.getAsLong();
+    TokenGrant.Builder grant = TokenGrant.newBuilder().setAskId(ask.getAskId());
+    for (TokenCount wanted : ask.getAsksList()) {
+      Allowance allowance = allowances.get(wanted.getCustomer());
+      if (allowance != null && holder.fractionOf(wanted.getCustomer(), now) > 0) {
+        int count = holder.take(wanted.getCustomer(), allowance, wanted.getCount(), now);
+        grant.addGrants(
+            TokenCount.newBuilder().setCustomer(wanted.getCustomer()).setCount(count));
+      }
+    }
+    if (grant.getGrantsCount() > 0) {
+      sender.test(peer, PeerMessage.newBuilder().setTokenGrant(grant).build());
+    }
+  }
+
+  /** Takes in a holder's answer. */
+  public void onGrant(TokenGrant grant) {
+    long now = clock.getAsLong();
+    Map<String, Integer> counts = new HashMap<>();
+    grant.getGrantsList().forEach(each -> counts.put(each.getCustomer(), each.getCount()));
+    batcher.onGrant(grant.getAskId(), counts, now).forEach(Promise::complete);
+    for (String customer : counts.keySet()) {
+      refuseLongWaiting(customer, now);
+    }
+    if (counts.keySet().stream().anyMatch(customer -> batcher.missing(customer) > 0)) {
+      scheduleFlushLater();
+    }
+  }
+
+  /** Asks again, gives out tokens that have come, and refuses what waited too long. */
+  public void tick(long now) {
+    holder.tick(now);
+    batcher.expireAsks(now);
+    batcher.expireRequests(now).forEach(AllowanceDuty::refuse);
+    flush();
+  }
+
+  private static void refuse(Promise<Void> request) {
+    request.fail(new RefusedException(Refusal.OVER_ALLOWANCE));
+  }
+
+  private void refuseLongWaiting(String customer, long now) {
+    batcher
+        .removeSince(customer, now - WAIT_WHEN_EMPTY_IN_NANOSECONDS)
+        .forEach(AllowanceDuty::refuse);
+  }
+
+  private Optional<String> holderOf(String customer) {
+    return view.get().holderOf(customer);
+  }
+
+  private boolean holds(String customer) {
+    return holderOf(customer).filter(self::equals).isPresent();
+  }
+
+  private void scheduleFlush() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      vertx.runOnContext(
+          nothing -> {
+            flushScheduled = false;
+            flush();
+          });
+    }
+  }
+
+  private void scheduleFlushLater() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      vertx.setTimer(
+          5,
+          timer -> {
+            flushScheduled = false;
+            flush();
+          });
+    }
+  }
+
+  private void flush() {
+    long now = clock.getAsLong();
+    Map<String, List<String>> byHolder = new HashMap<>();
+    for (String customer : batcher.customers()) {
+      Optional<String> target = holderOf(customer);
+      if (target.filter(self::equals).isPresent()) {
+        serveHere(customer, now);
+      } else if (target.isPresent() && batcher.missing(customer) > 0) {
+        byHolder.computeIfAbsent(target.get(), name -> new ArrayList<>()).add(customer);
+      }
+    }
+    byHolder.forEach((peer, customers) -> ask(peer, customers, now));
+  }
+
+  private void serveHere(String customer, long now) {
+    Allowance allowance = allowances.get(customer);
+    if (allowance == null) {
+      batcher.removeSince(customer, now).forEach(AllowanceDuty::refuse);
+      return;
+    }
+    while (batcher.missing(customer) > 0 && holder.take(customer, allowance, 1, now) == 1) {
+      batcher.next(customer).complete();
+    }
+    if (holder.fractionOf(customer, now) > 0) {
+      refuseLongWaiting(customer, now);
+    }
+    if (batcher.missing(customer) > 0) {
+      scheduleFlushLater();
+    }
+  }
+
+  private void ask(String peer, List<String> customers, long now) {
+    Ask ask = batcher.ask(customers, now);
+    TokenAsk.Builder message = TokenAsk.newBuilder().setAskId(ask.id());
+    ask.counts()
+        .forEach(
+            (customer, count) ->
+                message.addAsks(
+                    TokenCount.newBuilder().setCustomer(customer).setCount(count)));
+    asks++;
+    sender.test(peer, PeerMessage.newBuilder().setTokenAsk(message).build());
+  }
+
+  /** Returns the view a VM asks by: its own lending view, or that of an epoch it has not joined. */
+  public static LendingView askingView(LendingView active, Epoch newest, TreeSet<String> skipped) {
+    return active.epoch().members().isEmpty() ? new LendingView(newest, skipped) : active;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests against the allowances that all VMs share. */
+package org.toucanmast.runtime.allowance;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/AnswerWriter.java
@@ -0,0 +1,74 @@
+package org.toucanmast.runtime.caller;
+
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.toucanmast.core.request.Outcome;
+import org.toucanmast.core.request.RefusedException;
+import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.session.SessionToken;
+import org.toucanmast.runtime.request.CallerAnswer;
+
+/** Writes answers and refusals as HTTP responses. */
+final class AnswerWriter {
+  private static final int OK = 200;
+
+  /** Whether connections are closed after each answer, because this VM is stopping. */
+  private boolean closing;
+
+  void closeConnections() {
+    closing = true;
+  }
+
+  void answer(HttpServerRequest request, String id, CallerAnswer answer) {
+    JsonObject body =
+        new JsonObject()
+            .put("outcome", Outcome.RAN.text())
+            .put("requestId", id)
+            .put("rows", new JsonArray(answer.rows()))
+            .put("endpoint", answer.endpoint())
+            .put("replica", answer.replica())
+            .put("duplicate", answer.duplicate());
+    if (!answer.transaction().isEmpty()) {
+      body.put("transaction", answer.transaction());
+    }
+    write(request, OK, answer.token(), body, closing);
+  }
+
+  void refuse(
+      HttpServerRequest request, String id, RefusedException refused, SessionToken token) {
+    Refusal refusal = refused.refusal();
+    JsonObject body =
+        new JsonObject()
+            .put("outcome", refused.outcome().text())
+            .put("requestId", id)
+            .put("code", refusal.code())
+            .put("message", refused.getMessage());
+    boolean unreadBody = refusal == Refusal.TOO_LARGE || refusal == Refusal.TOO_SLOW;
+    write(request, refusal.status(), token, body, closing || unreadBody);
+  }
+
+  private static void write(
+      HttpServerRequest request, int status, SessionToken token, JsonObject body, boolean close) {
+    if (request.response().closed() || request.response().ended()) {
+      return;
+    }
+    request.response().setStatusCode(status).putHeader("Content-Type", "application/json");
+    String text = token.encode();
+    if (!text.isEmpty()) {
+      request.response().putHeader(RequestParser.SESSION_HEADER, text);
+    }
+    if (close) {
+      request.response().putHeader("Connection", "close");
+    }
+    request
+        .response()
+        .end(body.toBuffer())
+        .onComplete(
+            done -> {
+              if (close) {
+                request.connection().close();
+              }
+            });
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Threads with one duty each, joined by bounded rings. */
+package org.toucanmast.runtime.duty;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to endpoints and the connections they run on. */
+package org.toucanmast.runtime.endpoint;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/Confirmation.java
@@ -0,0 +1,11 @@
+package org.toucanmast.runtime.group;
+
+/** How the waiting for a majority ended. */
+public enum Confirmation {
+  /** A majority showed that the primary was still the primary. */
+  CONFIRMED,
+  /** A read's primary has a successor; the read can be sent again. */
+  SUPERSEDED,
+  /** The deadline passed. */
+  EXPIRED
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/package-info.java
@@ -0,0 +1,2 @@
+/** Observation of database groups, confirmation of answers and promotion. */
+package org.toucanmast.runtime.group;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/ConfigurationText.java
@@ -0,0 +1,114 @@
+package org.toucanmast.runtime.ini;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.toucanmast.core.text.InvalidTextException;
+import org.toucanmast.core.text.TextProblem;
+import org.toucanmast.schema.ConfigurationDocument;
+import org.toucanmast.schema.Section;
+
+/** Converts the configuration between its forms: INI for operators and JSON for the platform. */
+public final class ConfigurationText {
+  private ConfigurationText() {}
+
+  /**
+   * Reads the sections of an operator's INI file; their values are not checked yet.
+   *
+   * @throws InvalidTextException when a section's header is not a kind and a name
+   */
+  public static ConfigurationDocument readIni(Path file) throws InvalidTextException {
+    return ofSections(IniFile.read(file), file.toString());
+  }
+
+  /** Reads the sections of an INI text. */
+  public static ConfigurationDocument parseIni(String text, String source)
+      throws InvalidTextException {
+    return ofSections(IniFile.parse(text, source), source);
+  }
+
+  private static ConfigurationDocument ofSections(
+      Map<String, Map<String, String>> sections, String source) throws InvalidTextException {
+    ConfigurationDocument.Builder document = ConfigurationDocument.newBuilder();
+    List<TextProblem> problems = new ArrayList<>();
+    sections.forEach(
+        (header, values) -> {
+          int space = header.indexOf(' ');
+          if (space <= 0 || header.indexOf(' ', space + 1) >= 0) {
+            problems.add(
+                new TextProblem(source, header, "", "expected a kind and a name in the header"));
+            return;
+          }
+          document.addSections(
+              Section.newBuilder()
+                  .setKind(header.substring(0, space))
+                  .setName(header.substring(space + 1))
+                  .putAllValues(values));
+        });
+    if (!problems.isEmpty()) {
+      throw new InvalidTextException(problems);
+    }
+    return document.build();
+  }
+
+  /** Writes a document as INI, sections in the document's order and keys sorted. */
+  public static String toIni(ConfigurationDocument document) {
+    StringBuilder text = new StringBuilder();
+    for (Section section : document.getSectionsList()) {
+      if (!text.isEmpty()) {
+        text.append('\n');
+      }
+      text.append('[').append(section.getKind()).append(' ').append(section.getName());
+      text.append("]\n");
+      new TreeMap<>(section.getValuesMap())
+          .forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+    }
+    return text.toString();
+  }
+
+  /** Writes a document as the platform's JSON value. */
+  public static JsonObject toJson(ConfigurationDocument document) {
+    JsonArray sections = new JsonArray();
+    for (Section section : document.getSectionsList()) {
+      JsonObject values = new JsonObject();
+      new TreeMap<>(section.getValuesMap()).forEach(values::put);
+      sections.add(
+          new JsonObject()
+              .put("kind", section.getKind())
+              .put("name", section.getName())
+              .put("values", values));
+    }
+    return new JsonObject().put("sections", sections);
+  }
+
+  /**
+   * Reads a document from the platform's JSON value.
+   *
+   * @throws InvalidProtocolBufferException when the value does not have the document's form
+   */
+  public static ConfigurationDocument ofJson(String json) throws InvalidProtocolBufferException {
+    try {
+      ConfigurationDocument.Builder document = ConfigurationDocument.newBuilder();
+      JsonArray sections = new JsonObject(json).getJsonArray("sections", new JsonArray());
+      for (int index = 0; index < sections.size(); index++) {
+        JsonObject section = sections.getJsonObject(index);
+        Section.Builder builder =
+            Section.newBuilder()
+                .setKind(section.getString("kind"))
+                .setName(section.getString("name"));
+        JsonObject values = section.getJsonObject("values", new JsonObject());
+        values.forEach(entry -> builder.putValues(entry.getKey(), (String) entry.getValue()));
+        document.addSections(builder);
+      }
+      return document.build();
+    } catch (DecodeException | ClassCastException | NullPointerException e) {
+      throw new InvalidProtocolBufferException("not a configuration document: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/SettingsFile.java
@@ -0,0 +1,46 @@
+package org.toucanmast.runtime.ini;
+
+import com.google.protobuf.Descriptors.FieldDescriptor;
+import com.google.protobuf.Message;
+import java.nio.file.Path;
+import java.util.Map;
+import org.toucanmast.core.text.InvalidTextException;
+import org.toucanmast.core.text.SectionReader;
+import org.toucanmast.schema.Settings;
+
+/**
+ * Reads the settings of a VM.
+ *
+ * <p>Example: {@code Settings settings = SettingsFile.read(Path.of("vm.ini"))}.
+ */
+public final class SettingsFile {
+  private SettingsFile() {}
+
+  /**
+   * Reads and checks a settings file.
+   *
+   * @throws InvalidTextException with every unknown section or key, bad unit and bad address
+   */
+  public static Settings read(Path file) throws InvalidTextException {
+    Map<String, Map<String, String>> sections = IniFile.read(file);
+    SectionReader reader = new SectionReader(file.toString());
+    Settings.Builder settings = Settings.newBuilder();
+    for (String name : sections.keySet()) {
+      if (Settings.getDescriptor().findFieldByName(name) == null) {
+        reader.report(
+            name, "", "is not a known section; expected one of " + knownSections());
+      }
+    }
+    for (FieldDescriptor section : Settings.getDescriptor().getFields()) {
+      Message schema = settings.getFieldBuilder(section).getDefaultInstanceForType();
+      Map<String, String> values = sections.getOrDefault(section.getName(), Map.of());
+      settings.setField(section, reader.read(section.getName(), values, schema));
+    }
+    reader.throwIfInvalid();
+    return settings.build();
+  }
+
+  private static String knownSections() {
+    return SectionReader.keysOf(Settings.getDescriptor()).toString();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/package-info.java
@@ -0,0 +1,2 @@
+/** Reads INI files: settings of a VM and the configuration that operators edit. */
+package org.toucanmast.runtime.ini;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -0,0 +1,226 @@
+package org.toucanmast.runtime.membership;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import org.toucanmast.core.allowance.Holder;
+import org.toucanmast.core.allowance.Lender;
+import org.toucanmast.core.allowance.LendingView;
+import org.toucanmast.core.configuration.ConfigurationState;
+import org.toucanmast.core.membership.Epoch;
+import org.toucanmast.core.membership.EpochGate;
+import org.toucanmast.runtime.group.DatabaseGroup;
+import org.toucanmast.runtime.peer.PeerIdentity;
+import org.toucanmast.schema.Lending;
+import org.toucanmast.schema.PeerHeartbeat;
+import org.toucanmast.schema.PeerMessage;
+import org.toucanmast.schema.PrimaryDigest;
+import org.toucanmast.schema.Suspicion;
+
+/**
+ * Sends and receives heartbeats: liveness, the revision of the configuration, suspicions, primaries
+ * and the shares of allowances that are lent.
+ */
+public final class HeartbeatDuty {
+  private final String self;
+  private final long leaseDuration;
+  private final PeerTable peers;
+  private final ConfigurationState configuration;
+  private final EpochGate epochs;
+  private final Lender lender;
+  private final Holder holder;
+  private final Map<String, DatabaseGroup> groups;
+  private final BiPredicate<String, PeerMessage> sender;
+  private boolean leaving;
+
+  /**
+   * Creates the duty.
+   *
+   * @param leaseDuration how long a lent share counts at its holder, in nanoseconds
+   * @param groups the database groups of this VM by name
+   * @param sender sends a message to a peer
+   */
+  public HeartbeatDuty(
+      String self,
+      long leaseDuration,
+      PeerTable peers,
+      ConfigurationState configuration,
+      EpochGate epochs,
+      Lender lender,
+      Holder holder,
+      Map<String, DatabaseGroup> groups,
+      BiPredicate<String, PeerMessage> sender) {
+    this.self = self;
+    this.leaseDuration = leaseDuration;
+    this.peers = peers;
+    this.configuration = configuration;
+    this.epochs = epochs;
+    this.lender = lender;
+    this.holder = holder;
+    this.groups = groups;
+    this.sender = sender;
+  }
+
+  /** Tells peers from now on that this VM is leaving. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Sends a heartbeat to every known peer. */
+  public void beat(long now) {
+    wantView(now);
+    PeerHeartbeat common = common(now);
+    for (PeerState peer : peers.all()) {
+      sender.test(peer.identity().name(), messageTo(peer, common));
+    }
+  }
+
+  /**
+   * Takes in a heartbeat.
+   *
+   * @return false when it is older than one that came before
+   */
+  public boolean onHeartbeat(PeerIdentity identity, PeerHeartbeat heartbeat, long now) {
+    String name = identity.name();
+    PeerState peer =
+        peers.of(
+            identity,
+            () -> {
+              lender.onPeerRestarted(name);
+              holder.onWithdrawn(name, now);
+            });
+    if (identity.incarnation() < peer.identity().incarnation() || !peer.accept(heartbeat, now)) {
+      return false;
+    }
+    Lending lending = heartbeat.getLending();
+    lender.onAcknowledged(name, lending.getAcknowledgedVersion());
+    epochs.onPeerAdopted(name, lending.getEpoch());
+    takeLease(name, heartbeat, now);
+    takeJudgements(name, heartbeat, now);
+    lender.step(now);
+    return true;
+  }
+
+  private void takeLease(String peer, PeerHeartbeat heartbeat, long now) {
+    Lending lending = heartbeat.getLending();
+    if (!lending.getActive() || lending.getShareDenominator() <= 0) {
+      holder.onWithdrawn(peer, now);
+      return;
+    }
+    long echoed = heartbeat.getEchoed();
+    if (echoed == 0 || echoed - now > 0) {
+      return;
+    }
+    LendingView view =
+        new LendingView(
+            new Epoch(lending.getEpoch(), new TreeSet<>(lending.getMembersList())),
+            new TreeSet<>(lending.getSkippedList()));
+    holder.onLease(
+        peer,
+        new Holder.Lease(echoed + leaseDuration, 1.0 / lending.getShareDenominator(), view),
+        now);
+  }
+
+  private void takeJudgements(String peer, PeerHeartbeat heartbeat, long now) {
+    Map<String, Long> suspected = new TreeMap<>();
+    heartbeat
+        .getSuspicionsList()
+        .forEach(each -> suspected.put(each.getDatabase(), each.getTerm()));
+    groups.forEach(
+        (name, group) ->
+            group.onPeerJudgement(peer, Optional.ofNullable(suspected.get(name)), now));
+    for (PrimaryDigest digest : heartbeat.getPrimariesList()) {
+      DatabaseGroup group = groups.get(digest.getDatabase());
+      if (group != null) {
+        group.onPeerPrimary(digest.getEndpoint(), digest.getTerm());
+      }
+    }
+  }
+
+  /** Decides to whom this VM wants to lend: to all members but the silent and leaving ones. */
+  private void wantView(long now) {
+    Epoch epoch = epochs.adopted(now);
+    lender.want(new LendingView(epoch, skipped(epoch, now)), now);
+    boolean lendsToSelf = owns(now) && lender.active().candidates().contains(self);
+    if (lendsToSelf) {
+      holder.onLease(
+          self, new Holder.Lease(now + leaseDuration, lender.active().fraction(), lender.active()),
+          now);
+    } else {
+      holder.onWithdrawn(self, now);
+    }
+  }
+
+  /** Returns the members that are passed over as holders. */
+  public SortedSet<String> skipped(Epoch epoch, long now) {
+    SortedSet<String> skipped = new TreeSet<>();
+    for (String member : epoch.members()) {
+      boolean isLeaving = member.equals(self) ? leaving : peers.isLeaving(member);
+      if (!peers.isLive(member, now) || isLeaving) {
+        skipped.add(member);
+      }
+    }
+    return skipped;
+  }
+
+  private boolean owns(long now) {
+    return epochs.mayOwn(now) && lender.active().epoch().members().contains(self);
+  }
+
+  private PeerHeartbeat common(long now) {
+    PeerHeartbeat.Builder heartbeat =
+        PeerHeartbeat.newBuilder()
+            .setSentAt(now)
+            .setConfigurationRevision(configuration.current().revision())
+            .setConfigurationAge(configuration.age(now))
+            .setLeaving(leaving);
+    groups.forEach(
+        (name, group) -> {
+          group
+              .suspicion()
+              .ifPresent(
+                  term ->
+                      heartbeat.addSuspicions(
+                          Suspicion.newBuilder().setDatabase(name).setTerm(term)));
+          group
+              .view()
+              .primary()
+              .ifPresent(
+                  primary ->
+                      heartbeat.addPrimaries(
+                          PrimaryDigest.newBuilder()
+                              .setDatabase(name)
+                              .setEndpoint(primary)
+                              .setTerm(group.view().term())));
+        });
+    return heartbeat.build();
+  }
+
+  private PeerMessage messageTo(PeerState peer, PeerHeartbeat common) {
+    String name = peer.identity().name();
+    LendingView view = lender.active();
+    boolean lends = owns(common.getSentAt()) && lender.lendsTo(name);
+    Lending.Builder lending =
+        Lending.newBuilder()
+            .setEpoch(view.epoch().number())
+            .setVersion(lender.version())
+            .setAcknowledgedVersion(peer.newest().getLending().getVersion())
+            .setActive(lends);
+    long echoed = peer.newest().getSentAt();
+    if (lends) {
+      lending
+          .setShareDenominator(view.epoch().members().size())
+          .addAllSkipped(view.skipped())
+          .addAllMembers(view.epoch().members());
+      if (echoed != 0) {
+        lender.onLent(name, peer.heardAt());
+      }
+    }
+    return PeerMessage.newBuilder()
+        .setHeartbeat(common.toBuilder().setEchoed(echoed).setLending(lending))
+        .build();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/AdminServer.java
@@ -0,0 +1,86 @@
+package org.toucanmast.runtime.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.net.HostAndPort;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** The listener for health, metrics and status; a duty with a thread of its own. */
+public final class AdminServer extends VerticleBase {
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final HostAndPort address;
+  private final MetricRegistry registry;
+  private final BooleanSupplier ready;
+  private final Supplier<Future<JsonObject>> status;
+
+  /**
+   * Creates the listener.
+   *
+   * @param ready whether callers should be sent to this VM
+   * @param status describes what this VM knows
+   */
+  public AdminServer(
+      String address,
+      MetricRegistry registry,
+      BooleanSupplier ready,
+      Supplier<Future<JsonObject>> status) {
+    this.address = HostAndPort.fromString(address);
+    this.registry = registry;
+    this.ready = ready;
+    this.status = status;
+  }
+
+  @Override
+  public Future<?> start() {
+    return vertx
+        .createHttpServer()
+        .requestHandler(this::handle)
+        .listen(address.getPort(), address.getHost());
+  }
+
+  private void handle(HttpServerRequest request) {
+    switch (request.path()) {
+      case "/live" -> answer(request, OK, "live\n");
+      case "/ready" -> {
+        boolean isReady = ready.getAsBoolean();
+        answer(request, isReady ? OK : UNAVAILABLE, isReady ? "ready\n" : "not ready\n");
+      }
+      case "/metrics" -> metrics(request);
+      case "/status" ->
+          status
+              .get()
+              .onSuccess(json -> answer(request, OK, json.encodePrettily() + "\n"))
+              .onFailure(cause -> answer(request, UNAVAILABLE, cause.getMessage() + "\n"));
+      default -> answer(request, NOT_FOUND, "try /live, /ready, /metrics or /status\n");
+    }
+  }
+
+  private void metrics(HttpServerRequest request) {
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(text, new DropwizardExports(registry).collect());
+      request
+          .response()
+          .putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
+          .end(Buffer.buffer(text.toByteArray()));
+    } catch (IOException e) {
+      answer(request, UNAVAILABLE, "metrics cannot be written: " + e.getMessage() + "\n");
+    }
+  }
+
+  private static void answer(HttpServerRequest request, int code, String text) {
+    request.response().setStatusCode(code).end(text);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms, and the listener for health and metrics. */
+package org.toucanmast.runtime.metrics;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerEvents.java
@@ -0,0 +1,9 @@
+package org.toucanmast.runtime.peer;
+
+import org.toucanmast.schema.PeerMessage;
+
+/** What the links tell the rest of the VM; called on the requests duty's thread. */
+public interface PeerEvents {
+  /** A message came. */
+  void onMessage(PeerIdentity sender, PeerMessage message);
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerSecurity.java
@@ -0,0 +1,81 @@
+package org.toucanmast.runtime.peer;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import java.io.File;
+import java.security.cert.Certificate;
+import java.security.cert.X509Certificate;
+import java.util.Optional;
+import javax.naming.InvalidNameException;
+import javax.naming.ldap.LdapName;
+import javax.naming.ldap.Rdn;
+import javax.net.ssl.SSLException;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import javax.net.ssl.SSLSession;
+import org.toucanmast.schema.PeerSettings;
+
+/**
+ * Mutual TLS between VMs. Both ends show a certificate of the fleet's authority, and the common name
+ * of the certificate must be the VM name that the peer gives itself.
+ */
+final class PeerSecurity {
+  private final SslContext server;
+  private final SslContext client;
+
+  private PeerSecurity(SslContext server, SslContext client) {
+    this.server = server;
+    this.client = client;
+  }
+
+  static PeerSecurity of(PeerSettings settings) throws PeerException {
+    File certificate = new File(settings.getCertificateFile());
+    File privateKey = new File(settings.getPrivateKeyFile());
+    File authority = new File(settings.getAuthorityFile());
+    try {
+      SslContext server =
+          SslContextBuilder.forServer(certificate, privateKey)
+              .sslProvider(SslProvider.JDK)
+              .trustManager(authority)
+              .clientAuth(ClientAuth.REQUIRE)
+              .protocols("TLSv1.3")
+              .build();
+      SslContext client =
+          SslContextBuilder.forClient()
+              .sslProvider(SslProvider.JDK)
+              .keyManager(certificate, privateKey)
+              .trustManager(authority)
+              .endpointIdentificationAlgorithm(null)
+              .protocols("TLSv1.3")
+              .build();
+      return new PeerSecurity(server, client);
+    } catch (SSLException | IllegalArgumentException e) {
+      throw new PeerException("reading the certificates of [peers]", e);
+    }
+  }
+
+  SslContext server() {
+    return server;
+  }
+
+  SslContext client() {
+    return client;
+  }
+
+  /** Returns the common name of the certificate that the other end showed. */
+  static Optional<String> commonName(SSLSession session) {
+    try {
+      Certificate[] chain = session.getPeerCertificates();
+      String subject = ((X509Certificate) chain[0]).getSubjectX500Principal().getName();
+      return new LdapName(subject)
+          .getRdns().stream()
+              .filter(part -> part.getType().equalsIgnoreCase("CN"))
+              .map(Rdn::getValue)
+              .map(Object::toString)
+              .findFirst();
+    } catch (SSLPeerUnverifiedException | InvalidNameException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The links between VMs: Netty, protobuf and mutual TLS. */
+package org.toucanmast.runtime.peer;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -0,0 +1,193 @@
+package org.toucanmast.runtime.platform;
+
+import com.google.common.net.HostAndPort;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
+import org.toucanmast.runtime.platform.PlatformException.Kind;
+import org.toucanmast.runtime.platform.PlatformVms.ListedVm;
+
+/**
+ * Calls the platform's object service.
+ *
+ * <p>Example: {@code client.read("configuration", "main")}. Each call is made once, with a timeout;
+ * failed futures carry a {@link PlatformException}.
+ */
+public final class PlatformClient {
+  private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int CONNECTIONS = 4;
+
+  private final HttpClientAgent client;
+  private final HostAndPort address;
+  private final long timeoutInMilliseconds;
+  private final LongAdder calls = new LongAdder();
+  private final LongAdder failures = new LongAdder();
+
+  /**
+   * Creates a client.
+   *
+   * @param address IP address and port of the service
+   * @param timeoutInMilliseconds after which a call counts as unanswered
+   */
+  public PlatformClient(Vertx vertx, String address, long timeoutInMilliseconds) {
+    this.address = HostAndPort.fromString(address);
+    this.timeoutInMilliseconds = timeoutInMilliseconds;
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions()
+                .setConnectTimeout((int) timeoutInMilliseconds)
+                .setKeepAliveTimeout(60),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+  }
+
+  /** Reads an object; a missing one fails with {@link Kind#MISSING}. */
+  public Future<PlatformObject> read(String kind, String name) {
+    return call(HttpMethod.GET, path(kind, name), null, timeoutInMilliseconds)
+        .compose(answer -> toObject(kind, name, answer));
+  }
+
+  /**
+   * Waits for a version above the given one.
+   *
+   * @return the object; an object with the same version when none came in time
+   */
+  public Future<PlatformObject> watch(
+      String kind, String name, long version, long waitInMilliseconds) {
+    String uri = path(kind, name) + "?after=" + version + "&wait=" + waitInMilliseconds;
+    return call(HttpMethod.GET, uri, null, waitInMilliseconds + timeoutInMilliseconds)
+        .compose(
+            answer ->
+                answer.status() == NOT_MODIFIED
+                    ? Future.succeededFuture(new PlatformObject(version, ""))
+                    : toObject(kind, name, answer));
+  }
+
+  /**
+   * Changes an object if it still has the expected version; 0 creates it.
+   *
+   * @return the new version; fails with {@link Kind#CONFLICT} when another edit came first, and with
+   *     {@link Kind#NO_ANSWER} when the change may or may not have taken effect
+   */
+  public Future<Long> update(String kind, String name, long expectedVersion, String value) {
+    String uri = path(kind, name) + "?expected=" + expectedVersion;
+    return call(HttpMethod.PUT, uri, value, timeoutInMilliseconds)
+        .compose(answer -> toVersion(kind, name, answer));
+  }
+
+  /** Reads the list of VMs. */
+  public Future<PlatformVms> listVms() {
+    return call(HttpMethod.GET, "/vms", null, timeoutInMilliseconds).compose(this::toVms);
+  }
+
+  /** Returns how many calls were made. */
+  public long calls() {
+    return calls.sum();
+  }
+
+  /** Returns how many calls were not answered. */
+  public long failures() {
+    return failures.sum();
+  }
+
+  private record Answer(int status, String body) {}
+
+  private static String path(String kind, String name) {
+    return "/objects/" + kind + "/" + name;
+  }
+
+  private Future<Answer> call(HttpMethod method, String uri, String body, long timeout) {
+    calls.increment();
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(address.getHost())
+            .setPort(address.getPort())
+            .setURI(uri)
+            .setTimeout(timeout);
+    return client
+        .request(options)
+        .compose(
+            request ->
+                (body == null ? request.send() : request.send(Buffer.buffer(body)))
+                    .compose(
+                        response ->
+                            response
+                                .body()
+                                .map(text -> new Answer(response.statusCode(), text.toString()))))
+        .recover(
+            cause -> {
+              failures.increment();
+              return fail(Kind.NO_ANSWER, "no answer from the platform: " + cause.getMessage());
+            });
+  }
+
+  private static <T> Future<T> fail(Kind kind, String message) {
+    return Future.failedFuture(new PlatformException(kind, message));
+  }
+
+  private static Future<PlatformObject> toObject(String kind, String name, Answer answer) {
+    if (answer.status() == NOT_FOUND) {
+      return fail(Kind.MISSING, kind + "/" + name + " does not exist");
+    }
+    if (answer.status() != OK) {
+      return fail(Kind.BAD_ANSWER, "the platform answered " + answer.status());
+    }
+    try {
+      JsonObject json = new JsonObject(answer.body());
+      return Future.succeededFuture(
+          new PlatformObject(json.getLong("version"), json.getJsonObject("value").encode()));
+    } catch (DecodeException | ClassCastException | NullPointerException e) {
+      return fail(Kind.BAD_ANSWER, "the platform's answer cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static Future<Long> toVersion(String kind, String name, Answer answer) {
+    if (answer.status() == CONFLICT) {
+      return fail(Kind.CONFLICT, kind + "/" + name + " was changed by somebody else");
+    }
+    if (answer.status() != OK) {
+      return fail(Kind.BAD_ANSWER, "the platform answered " + answer.status());
+    }
+    try {
+      return Future.succeededFuture(new JsonObject(answer.body()).getLong("version"));
+    } catch (DecodeException | ClassCastException e) {
+      return fail(Kind.BAD_ANSWER, "the platform's answer cannot be read: " + e.getMessage());
+    }
+  }
+
+  private Future<PlatformVms> toVms(Answer answer) {
+    try {
+      JsonArray list = new JsonObject(answer.body()).getJsonArray("vms");
+      Map<String, ListedVm> live = new HashMap<>();
+      Set<String> leaving = new HashSet<>();
+      for (int index = 0; index < list.size(); index++) {
+        JsonObject vm = list.getJsonObject(index);
+        String name = vm.getString("name");
+        live.put(
+            name, new ListedVm(name, vm.getString("dataCentre"), vm.getString("peerAddress")));
+        if (vm.getBoolean("leaving", false)) {
+          leaving.add(name);
+        }
+      }
+      return Future.succeededFuture(new PlatformVms(live, leaving));
+    } catch (DecodeException | ClassCastException | NullPointerException e) {
+      return fail(Kind.BAD_ANSWER, "the list of VMs cannot be read: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/Access.java
@@ -0,0 +1,73 @@
+package org.toucanmast.runtime.request;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.toucanmast.core.configuration.ConfigurationState;
+import org.toucanmast.core.configuration.Customer;
+import org.toucanmast.core.configuration.FleetConfiguration;
+import org.toucanmast.core.request.RefusedException;
+import org.toucanmast.core.request.Refusal;
+
+/** Decides whether a key opens a database now; asked again whenever a request has waited. */
+public final class Access {
+  private final ConfigurationState configuration;
+  private final BooleanSupplier keysAreFresh;
+
+  /**
+   * Creates the check.
+   *
+   * @param keysAreFresh whether this VM may rely on the keys it knows
+   */
+  public Access(ConfigurationState configuration, BooleanSupplier keysAreFresh) {
+    this.configuration = configuration;
+    this.keysAreFresh = keysAreFresh;
+  }
+
+  /**
+   * Finds the customer of a key.
+   *
+   * @throws RefusedException when the key opens nothing; says nothing about which customers exist
+   */
+  public Principal authenticate(String key) throws RefusedException {
+    if (key == null || key.isEmpty()) {
+      throw new RefusedException(Refusal.UNAUTHENTICATED);
+    }
+    if (!keysAreFresh.getAsBoolean()) {
+      throw new RefusedException(Refusal.KEYS_NOT_FRESH);
+    }
+    String hash = FleetConfiguration.hashOfKey(key);
+    String customer = configuration.current().customersByKey().get(hash);
+    if (customer == null) {
+      throw new RefusedException(Refusal.UNAUTHENTICATED);
+    }
+    return new Principal(customer, hash);
+  }
+
+  /**
+   * Checks that a principal may use a database at this moment.
+   *
+   * @throws RefusedException when its key was withdrawn, or its customer may not use the database
+   */
+  public void check(Principal principal, String database, Instant now) throws RefusedException {
+    if (principal.isOpen()) {
+      return;
+    }
+    if (!keysAreFresh.getAsBoolean()) {
+      throw new RefusedException(Refusal.KEYS_NOT_FRESH);
+    }
+    FleetConfiguration current = configuration.current();
+    if (!principal.name().equals(current.customersByKey().get(principal.keyHash()))) {
+      throw new RefusedException(Refusal.UNAUTHENTICATED);
+    }
+    Optional<Customer> customer = Optional.ofNullable(current.customers().get(principal.name()));
+    boolean allowed =
+        customer
+            .filter(each -> each.databases().contains(database))
+            .filter(each -> each.hours().isOpen(now))
+            .isPresent();
+    if (!allowed) {
+      throw new RefusedException(Refusal.FORBIDDEN);
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
@@ -0,0 +1,296 @@
+package org.toucanmast.runtime.transaction;
+
+import io.vertx.core.Future;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.toucanmast.core.group.LogSummary.Coverage;
+import org.toucanmast.core.request.RefusedException;
+import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RequestKind;
+import org.toucanmast.core.routing.Destination;
+import org.toucanmast.core.session.SessionToken;
+import org.toucanmast.core.session.SessionView;
+import org.toucanmast.runtime.endpoint.EndpointCall;
+import org.toucanmast.runtime.endpoint.EndpointCall.Operation;
+import org.toucanmast.runtime.endpoint.EndpointConnection;
+import org.toucanmast.runtime.endpoint.EndpointReply;
+import org.toucanmast.runtime.endpoint.EndpointReply.Result;
+import org.toucanmast.runtime.group.Confirmation;
+import org.toucanmast.runtime.group.DatabaseGroup;
+import org.toucanmast.runtime.request.Access;
+import org.toucanmast.runtime.request.CallerAnswer;
+import org.toucanmast.runtime.request.CallerRequest;
+import org.toucanmast.runtime.request.RequestFailure;
+import org.toucanmast.runtime.request.RequestPath;
+import org.toucanmast.schema.TransactionStep;
+
+/**
+ * The transactions that this VM owns, each on a connection that serves nothing else meanwhile.
+ *
+ * <p>A connection goes back to its pool only after its transaction was committed or rolled back and
+ * the endpoint said so; in every other case it is closed, and the endpoint rolls back.
+ */
+public final class TransactionDuty {
+  private final String self;
+  private final RequestPath path;
+  private final long idleTimeout;
+  private final Map<String, OpenTransaction> open = new HashMap<>();
+
+  /**
+   * Creates the duty.
+   *
+   * @param idleTimeout after which an unused transaction is rolled back, in nanoseconds
+   */
+  public TransactionDuty(String self, RequestPath path, long idleTimeout) {
+    this.self = self;
+    this.path = path;
+    this.idleTimeout = idleTimeout;
+  }
+
+  /** Returns how many transactions are open. */
+  public int size() {
+    return open.size();
+  }
+
+  /** Begins a transaction at the primary of the request's database. */
+  public Future<CallerAnswer> begin(CallerRequest request) {
+    return path.admit(request)
+        .compose(group -> beginAt(group, request))
+        .recover(cause -> fail(cause, request.token()));
+  }
+
+  private Future<CallerAnswer> beginAt(DatabaseGroup group, CallerRequest request) {
+    return path.awaitPrimary(group, request)
+        .compose(
+            destination ->
+                path.connect(group, destination, request)
+                    .compose(connection -> begin(group, destination, connection, request)));
+  }
+
+  private Future<CallerAnswer> begin(
+      DatabaseGroup group,
+      Destination destination,
+      EndpointConnection connection,
+      CallerRequest request) {
+    return connection
+        .call(call(Operation.BEGIN, request, destination), path.timeoutFor(request))
+        .onFailure(cause -> path.release(group, connection))
+        .compose(
+            reply -> {
+              group.view().learn(reply.status());
+              Coverage coverage = reply.status().log().coverageOf(destination.required());
+              if (reply.result() == Result.RAN && coverage == Coverage.COVERED) {
+                return Future.succeededFuture(register(group, destination, connection, request));
+              }
+              connection.close();
+              path.release(group, connection);
+              return coverage == Coverage.LOST
+                  ? refuse(Refusal.LOST_WRITE)
+                  : beginAgain(group, request);
+            });
+  }
+
+  private Future<CallerAnswer> beginAgain(DatabaseGroup group, CallerRequest request) {
+    group.observer().observe();
+    return path.pause(request).compose(nothing -> beginAt(group, request));
+  }
+
+  private CallerAnswer register(
+      DatabaseGroup group,
+      Destination destination,
+      EndpointConnection connection,
+      CallerRequest request) {
+    TransactionHandle handle = TransactionHandle.create(self, group.database().name(), destination.term());
+    open.put(
+        handle.id(),
+        new OpenTransaction(
+            handle, request.principal(), group, destination, connection, path.now()));
+    return new CallerAnswer(
+        List.of(), request.token(), destination.endpoint(), false, false, handle.text());
+  }
+
+  /** Runs a step of a transaction that this VM owns. */
+  public Future<CallerAnswer> step(TransactionRequest step, Access access, Instant now) {
+    CallerRequest request = step.request();
+    OpenTransaction transaction = open.get(step.handle().id());
+    boolean known =
+        transaction != null && transaction.principal().name().equals(request.principal().name());
+    if (!known) {
+      return fail(new RefusedException(Refusal.NOT_FOUND), request.token());
+    }
+    if (transaction.isBusy()) {
+      return fail(new RefusedException(Refusal.TRANSACTION_BUSY), request.token());
+    }
+    try {
+      access.check(request.principal(), transaction.group().database().name(), now);
+    } catch (RefusedException e) {
+      rollBack(transaction);
+      return fail(e, request.token());
+    }
+    transaction.begin(path.now());
+    return run(transaction, step).onComplete(done -> transaction.end(path.now()));
+  }
+
+  private Future<CallerAnswer> run(OpenTransaction transaction, TransactionRequest step) {
+    CallerRequest request = step.request();
+    Future<Void> admitted =
+        step.step() == TransactionStep.CONTINUE
+            ? path.admit(withDatabase(request, transaction)).mapEmpty()
+            : Future.succeededFuture();
+    return admitted
+        .compose(nothing -> call(transaction, step))
+        .recover(cause -> fail(cause, request.token()));
+  }
+
+  private static CallerRequest withDatabase(CallerRequest request, OpenTransaction transaction) {
+    return new CallerRequest(
+        request.id(),
+        request.principal(),
+        transaction.group().database().name(),
+        request.kind(),
+        request.freshness(),
+        request.token(),
+        request.statements(),
+        request.arrivedAt(),
+        request.deadline());
+  }
+
+  private Future<CallerAnswer> call(OpenTransaction transaction, TransactionRequest step) {
+    Operation operation = Operation.valueOf(step.step().name());
+    return transaction
+        .connection()
+        .call(
+            call(operation, step.request(), transaction.destination()),
+            path.timeoutFor(step.request()))
+        .compose(
+            reply -> onReply(transaction, operation, reply, step.request()),
+            cause -> onNoReply(transaction, operation, step.request()));
+  }
+
+  private Future<CallerAnswer> onNoReply(
+      OpenTransaction transaction, Operation operation, CallerRequest request) {
+    rollBack(transaction);
+    if (operation != Operation.COMMIT) {
+      return refuse(Refusal.ROLLED_BACK);
+    }
+    return Future.failedFuture(unknown(transaction, request));
+  }
+
+  private Future<CallerAnswer> onReply(
+      OpenTransaction transaction,
+      Operation operation,
+      EndpointReply reply,
+      CallerRequest request) {
+    transaction.group().view().learn(reply.status());
+    if (reply.result() == Result.REFUSED && operation == Operation.CONTINUE) {
+      return Future.failedFuture(
+          new RefusedException(Refusal.REFUSED_BY_DATABASE, reply.message()));
+    }
+    if (reply.result() != Result.RAN) {
+      rollBack(transaction);
+      return refuse(Refusal.ROLLED_BACK);
+    }
+    return switch (operation) {
+      case COMMIT -> {
+        finish(transaction);
+        yield confirm(transaction, reply, request);
+      }
+      case ROLLBACK -> {
+        finish(transaction);
+        yield Future.succeededFuture(answer(transaction, reply, request.token()));
+      }
+      default -> Future.succeededFuture(answer(transaction, reply, request.token()));
+    };
+  }
+
+  private Future<CallerAnswer> confirm(
+      OpenTransaction transaction, EndpointReply reply, CallerRequest request) {
+    DatabaseGroup group = transaction.group();
+    return group
+        .observer()
+        .confirm(
+            group.database().rule(),
+            transaction.destination().endpoint(),
+            reply.position(),
+            path.now(),
+            request.deadline())
+        .compose(
+            confirmation ->
+                confirmation == Confirmation.CONFIRMED
+                    ? Future.succeededFuture(
+                        answer(
+                            transaction,
+                            reply,
+                            request.token().advance(group.database().name(), reply.position())))
+                    : Future.failedFuture(unknown(transaction, request)));
+  }
+
+  private static CallerAnswer answer(
+      OpenTransaction transaction, EndpointReply reply, SessionToken token) {
+    return new CallerAnswer(
+        reply.rows(),
+        token,
+        transaction.destination().endpoint(),
+        false,
+        reply.duplicate(),
+        transaction.handle().text());
+  }
+
+  private static RequestFailure unknown(OpenTransaction transaction, CallerRequest request) {
+    return unknownCommit(transaction.handle(), request.token());
+  }
+
+  /** Returns the failure of a commit that may have run; reads of its session stay at primaries. */
+  static RequestFailure unknownCommit(TransactionHandle handle, SessionToken token) {
+    SessionView view = token.viewOf(handle.database()).uncertain(handle.term());
+    return new RequestFailure(
+        new RefusedException(Refusal.OUTCOME_UNKNOWN), token.with(handle.database(), view));
+  }
+
+  private void finish(OpenTransaction transaction) {
+    open.remove(transaction.handle().id());
+    path.release(transaction.group(), transaction.connection());
+  }
+
+  /** Closes the connection, whereupon the endpoint rolls back. */
+  private void rollBack(OpenTransaction transaction) {
+    transaction.connection().close();
+    finish(transaction);
+  }
+
+  /** Rolls back transactions that nobody used for long. */
+  public void tick(long now) {
+    List.copyOf(open.values()).stream()
+        .filter(each -> each.isIdleFor(idleTimeout, now) || each.connection().isBroken())
+        .filter(each -> !each.isBusy())
+        .forEach(this::rollBack);
+  }
+
+  private static EndpointCall call(
+      Operation operation, CallerRequest request, Destination destination) {
+    return new EndpointCall(
+        operation,
+        request.id(),
+        RequestKind.WRITE,
+        destination.term(),
+        true,
+        request.statements());
+  }
+
+  private static <T> Future<T> refuse(Refusal refusal) {
+    return Future.failedFuture(new RefusedException(refusal));
+  }
+
+  private static <T> Future<T> fail(Throwable cause, SessionToken token) {
+    if (cause instanceof RequestFailure) {
+      return Future.failedFuture(cause);
+    }
+    RefusedException refused =
+        cause instanceof RefusedException known
+            ? known
+            : new RefusedException(Refusal.UNAVAILABLE);
+    return Future.failedFuture(new RequestFailure(refused, token));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/EntryVm.java
@@ -0,0 +1,135 @@
+package org.toucanmast.runtime.vm;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.toucanmast.runtime.metrics.AdminServer;
+import org.toucanmast.runtime.platform.PlatformDuty;
+import org.toucanmast.schema.Settings;
+
+/**
+ * One entry VM: all its duties, started and stopped together.
+ *
+ * <p>Example: {@code EntryVm vm = EntryVm.start(settings); ... vm.stop();}
+ */
+public final class EntryVm {
+  private static final Logger log = System.getLogger(EntryVm.class.getName());
+  private static final int DUTY_THREADS = 3;
+  private static final long START_TIMEOUT_IN_SECONDS = 20;
+  private static final long DRAIN_CHECK_IN_MILLISECONDS = 10;
+  private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+
+  private final Settings settings;
+  private final Vertx vertx;
+  private final RequestsDuty requests;
+
+  private EntryVm(Settings settings, Vertx vertx, RequestsDuty requests) {
+    this.settings = settings;
+    this.vertx = vertx;
+    this.requests = requests;
+  }
+
+  /**
+   * Starts a VM.
+   *
+   * @throws StartException when an address cannot be listened on or a certificate cannot be read
+   */
+  public static EntryVm start(Settings settings) throws StartException {
+    Vertx vertx =
+        Vertx.vertx(
+            new VertxOptions()
+                .setEventLoopPoolSize(DUTY_THREADS)
+                .setPreferNativeTransport(false));
+    MetricRegistry registry = new MetricRegistry();
+    RequestsDuty requests = new RequestsDuty(settings, registry);
+    EntryVm vm = new EntryVm(settings, vertx, requests);
+    try {
+      vm.deploy(registry);
+    } catch (StartException e) {
+      vertx.close();
+      throw e;
+    }
+    log.log(Level.INFO, "VM {0} started", settings.getVm().getName());
+    return vm;
+  }
+
+  private void deploy(MetricRegistry registry) throws StartException {
+    await(vertx.deployVerticle(requests), "the callers' and peers' listeners");
+    PlatformDuty platform =
+        new PlatformDuty(
+            settings.getPlatform(),
+            requests.clock(),
+            requests.executor(),
+            requests.fleet(),
+            new Random());
+    registry.register("platform.calls", (Gauge<Long>) platform::calls);
+    registry.register("platform.failures", (Gauge<Long>) platform::failures);
+    requests.connect(platform);
+    await(vertx.deployVerticle(platform), "the platform client");
+    AdminServer admin =
+        new AdminServer(
+            settings.getCallers().getAdminAddress(),
+            registry,
+            requests::isReady,
+            requests::status);
+    await(vertx.deployVerticle(admin), "the listener for health and metrics");
+  }
+
+  private static void await(Future<?> future, String what) throws StartException {
+    try {
+      future
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(START_TIMEOUT_IN_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new StartException(what, e);
+    } catch (ExecutionException e) {
+      throw new StartException(what, e.getCause());
+    } catch (TimeoutException e) {
+      throw new StartException(what, e);
+    }
+  }
+
+  /**
+   * Stops the VM without cutting a request: first shows itself as not ready, then refuses new work,
+   * then waits until running requests and open transactions have ended or the deadline has passed.
+   *
+   * @return whether everything ended before the deadline
+   */
+  public boolean stop() {
+    log.log(Level.INFO, "VM {0} is stopping", settings.getVm().getName());
+    requests.announceStop();
+    sleep(settings.getShutdown().getAnnounceDelay() / NANOSECONDS_PER_MILLISECOND);
+    requests.stopAccepting();
+    sleep(DRAIN_CHECK_IN_MILLISECONDS);
+    long deadline = System.nanoTime() + settings.getShutdown().getDeadline();
+    while (!requests.isIdle() && System.nanoTime() - deadline < 0) {
+      sleep(DRAIN_CHECK_IN_MILLISECONDS);
+    }
+    boolean drained = requests.isIdle();
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+    log.log(
+        Level.INFO,
+        "VM {0} stopped, {1}",
+        settings.getVm().getName(),
+        drained ? "all requests ended" : "the deadline passed");
+    return drained;
+  }
+
+  private static void sleep(long milliseconds) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(milliseconds);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/StatusReport.java
@@ -0,0 +1,61 @@
+package org.toucanmast.runtime.vm;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.TreeMap;
+import org.toucanmast.core.configuration.ConfigurationState;
+import org.toucanmast.core.group.EndpointStatus;
+import org.toucanmast.core.membership.EpochGate;
+import org.toucanmast.runtime.endpoint.EndpointJson;
+import org.toucanmast.runtime.group.DatabaseGroup;
+import org.toucanmast.runtime.membership.PeerTable;
+
+/** Describes what a VM knows, for operators. */
+final class StatusReport {
+  private StatusReport() {}
+
+  static JsonObject of(
+      String self,
+      boolean ready,
+      ConfigurationState configuration,
+      PeerTable peers,
+      EpochGate epochs,
+      Map<String, DatabaseGroup> groups,
+      long now) {
+    JsonArray members = new JsonArray();
+    epochs.newest().members().forEach(members::add);
+    JsonObject live = new JsonObject();
+    new TreeMap<>(peers.live(now)).forEach(live::put);
+    JsonObject databases = new JsonObject();
+    new TreeMap<>(groups).forEach((name, group) -> databases.put(name, describe(group, now)));
+    JsonArray customers = new JsonArray();
+    new TreeMap<>(configuration.current().customers()).keySet().forEach(customers::add);
+    return new JsonObject()
+        .put("vm", self)
+        .put("ready", ready)
+        .put("configurationRevision", configuration.current().revision())
+        .put("configurationAgeNanoseconds", configuration.age(now))
+        .put("epoch", epochs.newest().number())
+        .put("adoptedEpoch", epochs.adopted(now).number())
+        .put("ownsShare", epochs.mayOwn(now))
+        .put("members", members)
+        .put("liveVms", live)
+        .put("customers", customers)
+        .put("databases", databases);
+  }
+
+  private static JsonObject describe(DatabaseGroup group, long now) {
+    JsonObject endpoints = new JsonObject();
+    for (EndpointStatus status : group.view().statuses()) {
+      endpoints.put(status.endpoint(), EndpointJson.ofStatus(status));
+    }
+    return new JsonObject()
+        .put("primary", group.view().primary().orElse(""))
+        .put("term", group.view().term())
+        .put("confirmedAgoNanoseconds", group.view().confirmationAge(now))
+        .put("ordersByThisVm", group.orders())
+        .put("rounds", group.observer().rounds())
+        .put("endpoints", endpoints);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/package-info.java
@@ -0,0 +1,2 @@
+/** The entry VM: all duties together. */
+package org.toucanmast.runtime.vm;
