--- /dev/null
+++ b/cli/src/main/java/org/toucanmast/cli/CustomerCommand.java
@@ -0,0 +1,49 @@
+package org.toucanmast.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Changes the keys of one customer. */
+@Command(
+    name = "customer",
+    mixinStandardHelpOptions = true,
+    description = "Change a customer's rate, opening hours and databases.")
+final class CustomerCommand {
+  @Spec private CommandSpec spec;
+
+  @Command(
+      name = "set",
+      mixinStandardHelpOptions = true,
+      description = "Set a customer's own values, over those of its template.")
+  int set(
+      @Mixin EditOptions options,
+      @Parameters(paramLabel = "CUSTOMER") String customer,
+      @Option(names = "--rate", description = "Requests per second, for example 20/s.") String rate,
+      @Option(names = "--burst", description = "Requests that may come at once.") String burst,
+      @Option(names = "--opening-hours", description = "For example 07:00-19:00.") String hours,
+      @Option(names = "--databases", description = "Names, with commas.") String databases)
+      throws CommandException {
+    Map<String, String> values = new LinkedHashMap<>();
+    putIfGiven(values, "rate", rate);
+    putIfGiven(values, "burst", burst);
+    putIfGiven(values, "opening-hours", hours);
+    putIfGiven(values, "databases", databases);
+    if (values.isEmpty()) {
+      throw new CommandException(ExitCodes.INVALID, "nothing to set; see --help");
+    }
+    return options.edit(
+        spec, document -> DocumentEdits.set(document, "customer", customer, values));
+  }
+
+  private static void putIfGiven(Map<String, String> values, String key, String value) {
+    if (value != null) {
+      values.put(key, value);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/toucanmast/cli/DocumentEdits.java
@@ -0,0 +1,36 @@
+package org.toucanmast.cli;
+
+import java.util.Map;
+import java.util.Optional;
+import org.toucanmast.schema.ConfigurationDocument;
+import org.toucanmast.schema.Section;
+
+/** Small changes of a configuration document. */
+final class DocumentEdits {
+  private DocumentEdits() {}
+
+  /** Returns a section. */
+  static Optional<Section> find(ConfigurationDocument document, String kind, String name) {
+    return document.getSectionsList().stream()
+        .filter(section -> section.getKind().equals(kind) && section.getName().equals(name))
+        .findFirst();
+  }
+
+  /** Sets keys of a section that exists. */
+  static ConfigurationDocument set(
+      ConfigurationDocument document, String kind, String name, Map<String, String> values)
+      throws CommandException {
+    ConfigurationDocument.Builder changed = ConfigurationDocument.newBuilder();
+    boolean found = false;
+    for (Section section : document.getSectionsList()) {
+      boolean matches = section.getKind().equals(kind) && section.getName().equals(name);
+      found |= matches;
+      changed.addSections(
+          matches ? section.toBuilder().putAllValues(values).build() : section);
+    }
+    if (!found) {
+      throw new CommandException(ExitCodes.INVALID, "there is no " + kind + " '" + name + "'");
+    }
+    return changed.build();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/toucanmast/cli/EndpointCommand.java
@@ -0,0 +1,38 @@
+package org.toucanmast.cli;
+
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Takes single endpoints out and brings them back. */
+@Command(
+    name = "endpoint",
+    mixinStandardHelpOptions = true,
+    description = "Take an endpoint out of service and bring it back.")
+final class EndpointCommand {
+  @Spec private CommandSpec spec;
+
+  @Command(
+      name = "take-out",
+      mixinStandardHelpOptions = true,
+      description = "Give it no new work; a primary there is moved first.")
+  int takeOut(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
+      throws CommandException {
+    return setState(options, name, "leaving");
+  }
+
+  @Command(name = "bring-back", mixinStandardHelpOptions = true, description = "Use it again.")
+  int bringBack(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
+      throws CommandException {
+    return setState(options, name, "serving");
+  }
+
+  private int setState(EditOptions options, String name, String state) throws CommandException {
+    return options.edit(
+        spec,
+        document -> DocumentEdits.set(document, "endpoint", name, Map.of("state", state)));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/toucanmast/cli/PlatformOptions.java
@@ -0,0 +1,80 @@
+package org.toucanmast.cli;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.toucanmast.core.text.ValueFormat;
+import org.toucanmast.core.text.ValueFormatException;
+import org.toucanmast.runtime.platform.PlatformClient;
+import org.toucanmast.runtime.platform.PlatformEditor;
+import org.toucanmast.runtime.platform.PlatformException;
+import picocli.CommandLine.Option;
+
+/** The platform that a command talks to. */
+final class PlatformOptions {
+  private static final long CALL_TIMEOUT_IN_MILLISECONDS = 2_000;
+  private static final long COMMAND_TIMEOUT_IN_SECONDS = 60;
+
+  @Option(
+      names = "--platform",
+      required = true,
+      paramLabel = "ADDRESS",
+      description = "IP address and port of the platform's object service.")
+  private String address;
+
+  /** Work with the platform. */
+  interface Work<T> {
+    /** Starts the work. */
+    Future<T> start(PlatformEditor editor);
+  }
+
+  /**
+   * Does the work and waits for its end.
+   *
+   * @throws CommandException when the platform did not do what was asked
+   */
+  <T> T run(Work<T> work) throws CommandException {
+    checkAddress();
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    try {
+      PlatformClient client = new PlatformClient(vertx, address, CALL_TIMEOUT_IN_MILLISECONDS);
+      PlatformEditor editor = new PlatformEditor(vertx, client, new Random());
+      return work.start(editor)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(COMMAND_TIMEOUT_IN_SECONDS, TimeUnit.SECONDS);
+    } catch (ExecutionException e) {
+      throw ofCause(e.getCause());
+    } catch (TimeoutException e) {
+      throw new CommandException(ExitCodes.FAILED, "the platform gave no answer");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CommandException(ExitCodes.FAILED, "interrupted");
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+  }
+
+  private void checkAddress() throws CommandException {
+    try {
+      ValueFormat.ADDRESS.parse(address);
+    } catch (ValueFormatException e) {
+      throw new CommandException(ExitCodes.INVALID, "--platform: " + e.getMessage());
+    }
+  }
+
+  private static CommandException ofCause(Throwable cause) {
+    if (cause instanceof CommandException failure) {
+      return failure;
+    }
+    if (cause instanceof PlatformException error
+        && error.kind() == PlatformException.Kind.CONFLICT) {
+      return new CommandException(ExitCodes.CONFLICT, error.getMessage() + "; nothing was changed");
+    }
+    return new CommandException(ExitCodes.FAILED, String.valueOf(cause.getMessage()));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/toucanmast/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.toucanmast.cli;
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
@@ -15,16 +15,22 @@
  * answer can reach nobody.
  */
 public final class EndpointConnection {
+  /** Names the calling VM to an endpoint. */
+  static final String VM_HEADER = "Vm-Name";
+
   private static final AtomicLong CALL_IDS = new AtomicLong();
   private static final int OK = 200;
 
   private final String endpoint;
+  private final String vm;
   private final HttpClientConnection connection;
   private boolean broken;
   private long usedAt;
 
-  EndpointConnection(String endpoint, HttpClientConnection connection, long now) {
+  EndpointConnection(
+      String endpoint, String vm, HttpClientConnection connection, long now) {
     this.endpoint = endpoint;
+    this.vm = vm;
     this.connection = connection;
     this.usedAt = now;
     connection.closeHandler(closed -> broken = true);
@@ -67,6 +73,7 @@
         new RequestOptions()
             .setMethod(HttpMethod.POST)
             .setURI("/call")
+            .putHeader(VM_HEADER, vm)
             .setTimeout(Math.max(1, timeoutInMilliseconds));
     return connection
         .request(options)
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointControl.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointControl.java
@@ -18,13 +18,19 @@
 public final class EndpointControl {
   private static final int OK = 200;
   private final HttpClientAgent client;
+  private final String vm;
 
   /** What an endpoint answered to a fence or a promotion. */
   public record Verdict(boolean granted, EndpointStatus status) {}
 
-  /** Creates the interface on a client whose connections are apart from those for requests. */
-  public EndpointControl(HttpClientAgent client) {
+  /**
+   * Creates the interface on a client whose connections are apart from those for requests.
+   *
+   * @param vm the name of this VM, told to endpoints for their logs
+   */
+  public EndpointControl(HttpClientAgent client, String vm) {
     this.client = client;
+    this.vm = vm;
   }
 
   /** Asks an endpoint for its status. */
@@ -65,6 +71,7 @@
             .setHost(address.getHost())
             .setPort(address.getPort())
             .setURI(path)
+            .putHeader(EndpointConnection.VM_HEADER, vm)
             .setConnectTimeout(timeout)
             .setTimeout(timeout);
     Buffer content = body.toBuffer();
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
@@ -27,6 +27,7 @@
   private record Waiting(Promise<EndpointConnection> promise, long deadline) {}
 
   private final String endpoint;
+  private final String vm;
   private final HostAndPort address;
   private final HttpClientAgent client;
   private final LongSupplier clock;
@@ -41,16 +42,19 @@
   /**
    * Creates a pool without connections.
    *
+   * @param vm the name of this VM
    * @param maximumWaiting the most requests of one customer that wait
    * @param clock the present time, in nanoseconds
    */
   public EndpointPool(
       String endpoint,
+      String vm,
       String address,
       HttpClientAgent client,
       int maximumWaiting,
       LongSupplier clock) {
     this.endpoint = endpoint;
+    this.vm = vm;
     this.address = HostAndPort.fromString(address);
     this.client = client;
     this.clock = clock;
@@ -158,7 +162,7 @@
     opening--;
     open++;
     failing = false;
-    idle.addLast(new EndpointConnection(endpoint, connection, clock.getAsLong()));
+    idle.addLast(new EndpointConnection(endpoint, vm, connection, clock.getAsLong()));
     pump();
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -110,7 +110,12 @@
         endpoint.name(),
         name ->
             new EndpointPool(
-                name, endpoint.address(), client, (int) settings.getMaximumWaiting(), clock));
+                name,
+                self,
+                endpoint.address(),
+                client,
+                (int) settings.getMaximumWaiting(),
+                clock));
   }
 
   /** Returns the group's description. */
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -141,7 +141,8 @@
         new EndpointControl(
             vertx.createHttpClient(
                 new HttpClientOptions().setTcpNoDelay(true),
-                new PoolOptions().setHttp1MaxSize(CONTROL_CONNECTIONS_PER_ENDPOINT)));
+                new PoolOptions().setHttp1MaxSize(CONTROL_CONNECTIONS_PER_ENDPOINT)),
+            self);
   }
 
   private void createRequestPath() {
--- /dev/null
+++ b/standin/src/main/java/org/toucanmast/standin/quickstart/package-info.java
@@ -0,0 +1,2 @@
+/** A whole fleet on one machine, for a first look and for experiments. */
+package org.toucanmast.standin.quickstart;
