--- /dev/null
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Fleet.java
@@ -0,0 +1,304 @@
+package org.toucanmast.standin.fleet;
+
+import io.vertx.core.json.JsonArray;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.apache.commons.text.StringSubstitutor;
+import org.toucanmast.cli.Main;
+import org.toucanmast.core.configuration.FleetConfiguration;
+import org.toucanmast.standin.ToolMain;
+
+/**
+ * A platform, database groups and entry VMs, each a process of its own.
+ *
+ * <p>Example: {@code try (Fleet fleet = Fleet.start(FleetPlan.of(Deployment.LENTES))) { ... }}.
+ * Closing ends every process.
+ */
+public final class Fleet implements AutoCloseable {
+  private static final long START_TIMEOUT_IN_SECONDS = 60;
+  private static final long POLL_IN_MILLISECONDS = 20;
+  private static final Pattern ENDPOINT = Pattern.compile("@\\{address:(([^}]+)-[0-9]+)}");
+  private static final Pattern KEY = Pattern.compile("@\\{key:([^}]+)}");
+
+  private final FleetPlan plan;
+  private final Path directory;
+  private final Control control = new Control();
+  private final Map<String, String> endpointAddresses = new LinkedHashMap<>();
+  private final Map<String, String> databaseControls = new LinkedHashMap<>();
+  private final Map<String, FleetProcess> databases = new LinkedHashMap<>();
+  private final Map<String, FleetVm> vms = new TreeMap<>();
+  private final FleetCertificates certificates;
+  private String platformAddress;
+  private FleetProcess platform;
+
+  private Fleet(FleetPlan plan) throws IOException {
+    this.plan = plan;
+    this.directory = Files.createTempDirectory("toucanmast-fleet");
+    this.certificates = FleetCertificates.create(directory);
+  }
+
+  /** Starts everything, applies the configuration and waits until all VMs are ready. */
+  public static Fleet start(FleetPlan plan) throws IOException {
+    Fleet fleet = new Fleet(plan);
+    try {
+      fleet.startPlatform();
+      fleet.startDatabases();
+      fleet.applyConfiguration(plan.configuration());
+      fleet.startVms();
+      fleet.awaitReady();
+      return fleet;
+    } catch (IOException | RuntimeException e) {
+      fleet.close();
+      throw e;
+    }
+  }
+
+  /** Returns the key of a sample customer. */
+  public static String keyOf(String customer) {
+    return "demonstration-key-of-" + customer;
+  }
+
+  private void startPlatform() throws IOException {
+    platformAddress = Ports.addresses(1).get(0);
+    platform =
+        FleetProcess.start(
+            directory,
+            "platform",
+            ToolMain.class,
+            List.of(
+                "platform-standin",
+                "--address",
+                platformAddress,
+                "--list-lag",
+                Long.toString(plan.listLag().toMillis())));
+  }
+
+  private void startDatabases() throws IOException {
+    Map<String, List<String>> groups = new LinkedHashMap<>();
+    Matcher matcher = ENDPOINT.matcher(plan.configuration());
+    while (matcher.find()) {
+      groups.computeIfAbsent(matcher.group(2), name -> new ArrayList<>()).add(matcher.group(1));
+    }
+    for (Map.Entry<String, List<String>> group : groups.entrySet()) {
+      startDatabase(group.getKey(), group.getValue());
+    }
+  }
+
+  private void startDatabase(String name, List<String> endpoints) throws IOException {
+    List<String> addresses = Ports.addresses(endpoints.size() + 1);
+    String controlAddress = addresses.get(endpoints.size());
+    List<String> arguments = new ArrayList<>();
+    arguments.addAll(List.of("database-standin", "--control", controlAddress));
+    for (int index = 0; index < endpoints.size(); index++) {
+      endpointAddresses.put(endpoints.get(index), addresses.get(index));
+      arguments.addAll(
+          List.of("--endpoint", endpoints.get(index) + "=" + addresses.get(index)));
+    }
+    arguments.addAll(
+        List.of(
+            "--slots", Integer.toString(plan.endpoints().slots()),
+            "--connections", Integer.toString(plan.endpoints().connections()),
+            "--connect-time", Long.toString(plan.endpoints().connectMilliseconds()),
+            "--service-time", Long.toString(plan.endpoints().serviceMicroseconds()),
+            "--lag", Long.toString(plan.endpoints().lagMilliseconds())));
+    databaseControls.put(name, controlAddress);
+    databases.put(
+        name, FleetProcess.start(directory, "database-" + name, ToolMain.class, arguments));
+  }
+
+  private void startVms() throws IOException {
+    for (int index = 1; index <= plan.vms(); index++) {
+      String name = "vm-" + index;
+      List<String> dataCentres = plan.deployment().dataCentres();
+      startVm(name, dataCentres.get((index - 1) % dataCentres.size()));
+    }
+    listVms();
+  }
+
+  /** Starts one more VM; it is not in the platform's list yet. */
+  public FleetVm startVm(String name, String dataCentre) throws IOException {
+    List<String> addresses = Ports.addresses(3);
+    certificates.issue(name);
+    Path settings = directory.resolve(name + ".ini");
+    Files.writeString(settings, settingsOf(name, dataCentre, addresses));
+    FleetProcess process =
+        FleetProcess.start(
+            directory, name, Main.class, List.of("proxy", "--settings", settings.toString()));
+    FleetVm vm =
+        new FleetVm(
+            name, dataCentre, addresses.get(0), addresses.get(1), addresses.get(2), process);
+    vms.put(name, vm);
+    return vm;
+  }
+
+  private String settingsOf(String name, String dataCentre, List<String> addresses) {
+    Map<String, Map<String, String>> sections = new LinkedHashMap<>();
+    putSetting(sections, "vm.name", name);
+    putSetting(sections, "vm.data-centre", dataCentre);
+    putSetting(sections, "callers.address", addresses.get(0));
+    putSetting(sections, "callers.admin-address", addresses.get(1));
+    putSetting(sections, "platform.address", platformAddress);
+    putSetting(sections, "peers.address", addresses.get(2));
+    putSetting(sections, "peers.certificate-file", directory.resolve(name + ".pem").toString());
+    putSetting(sections, "peers.private-key-file", directory.resolve(name + ".key").toString());
+    putSetting(sections, "peers.authority-file", directory.resolve("authority.pem").toString());
+    List<String> seeds = vms.values().stream().map(FleetVm::peers).toList();
+    putSetting(sections, "peers.seed-addresses", String.join(", ", seeds));
+    plan.settings().forEach((key, value) -> putSetting(sections, key, value));
+    StringBuilder text = new StringBuilder();
+    sections.forEach(
+        (section, values) -> {
+          text.append('[').append(section).append("]\n");
+          values.forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+          text.append('\n');
+        });
+    return text.toString();
+  }
+
+  private static void putSetting(
+      Map<String, Map<String, String>> sections, String key, String value) {
+    int dot = key.indexOf('.');
+    sections
+        .computeIfAbsent(key.substring(0, dot), section -> new LinkedHashMap<>())
+        .put(key.substring(dot + 1), value);
+  }
+
+  /** Makes the platform list exactly the VMs whose processes run. */
+  public void listVms() throws IOException {
+    JsonArray listed = new JsonArray();
+    vms.values().stream()
+        .filter(vm -> vm.process().isAlive())
+        .forEach(vm -> listed.add(vm.listed()));
+    control.setVms(platformAddress, listed);
+  }
+
+  /** Fills addresses and keys into a configuration text, and applies it as an operator would. */
+  public void applyConfiguration(String template) throws IOException {
+    Path file = directory.resolve("configuration.ini");
+    Files.writeString(file, fill(template));
+    waitFor(() -> canApply(file), "the configuration to be applied");
+  }
+
+  private boolean canApply(Path file) {
+    return operate("configuration", "apply", file.toString()) == 0;
+  }
+
+  /** Returns a configuration text with addresses and keys filled in. */
+  public String fill(String template) {
+    Map<String, String> values = new LinkedHashMap<>();
+    endpointAddresses.forEach((name, address) -> values.put("address:" + name, address));
+    Matcher matcher = KEY.matcher(template);
+    while (matcher.find()) {
+      String customer = matcher.group(1);
+      values.put("key:" + customer, FleetConfiguration.hashOfKey(keyOf(customer)));
+    }
+    return new StringSubstitutor(values, "@{", "}").replace(template);
+  }
+
+  /** Runs an operator's command against the platform; returns its exit code. */
+  public int operate(String... arguments) {
+    List<String> all = new ArrayList<>(List.of(arguments));
+    all.add("--platform=" + platformAddress);
+    return Main.commandLine(new Main()).execute(all.toArray(new String[0]));
+  }
+
+  /** Waits until every running VM is ready, knows every primary and owns its share. */
+  public void awaitReady() throws IOException {
+    waitFor(
+        () ->
+            vms.values().stream()
+                .filter(vm -> vm.process().isAlive())
+                .allMatch(this::isSettled),
+        "all VMs to be ready");
+  }
+
+  private boolean isSettled(FleetVm vm) {
+    try {
+      return control.isReady(vm.admin())
+          && control.status(vm.admin()).getBoolean("ownsShare")
+          && control.status(vm.admin()).getJsonObject("databases").stream()
+              .noneMatch(each -> each.getValue().toString().contains("\"primary\":\"\""));
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Waits for a condition. */
+  public static void waitFor(BooleanSupplier condition, String what) throws IOException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_TIMEOUT_IN_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - deadline > 0) {
+        throw new IOException(new TimeoutException("waited in vain for " + what));
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(POLL_IN_MILLISECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted while waiting for " + what, e);
+      }
+    }
+  }
+
+  /** Returns the VMs by name. */
+  public Map<String, FleetVm> vms() {
+    return vms;
+  }
+
+  /** Returns the VMs' addresses for callers. */
+  public List<String> callerAddresses() {
+    return vms.values().stream().map(FleetVm::callers).toList();
+  }
+
+  /** Returns the calls to control listeners. */
+  public Control control() {
+    return control;
+  }
+
+  /** Returns the platform's address. */
+  public String platformAddress() {
+    return platformAddress;
+  }
+
+  /** Returns the control address of each database group by name. */
+  public Map<String, String> databaseControls() {
+    return databaseControls;
+  }
+
+  /** Returns the address of each endpoint by name. */
+  public Map<String, String> endpointAddresses() {
+    return endpointAddresses;
+  }
+
+  /** Returns the directory of settings, certificates and logs. */
+  public Path directory() {
+    return directory;
+  }
+
+  /** Ends all processes and removes the directory. */
+  @Override
+  public void close() throws IOException {
+    List<FleetProcess> all = new ArrayList<>();
+    vms.values().forEach(vm -> all.add(vm.process()));
+    all.addAll(databases.values());
+    if (platform != null) {
+      all.add(platform);
+    }
+    all.forEach(FleetProcess::kill);
+    try (Stream<Path> files = Files.walk(directory)) {
+      files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+    }
+  }
+}
--- a/standin/src/main/java/org/toucanmast/standin/quickstart/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** A whole fleet on one machine, for a first look and for experiments. */
-package org.toucanmast.standin.quickstart;
