--- a/cli/src/main/java/org/toucanmast/cli/ConfigurationCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/ConfigurationCommand.java
@@ -26,8 +26,7 @@
       @Mixin PlatformOptions platform,
       @Option(names = "--output", defaultValue = "table") OutputFormat output)
       throws CommandException {
-    ConfigurationDocument document =
-        platform.run(editor -> new ConfigurationEditor(editor).read());
+    ConfigurationDocument document = platform.run(editor -> new ConfigurationEditor(editor).read());
     String text =
         output == OutputFormat.JSON
             ? ConfigurationText.toJson(document).encodePrettily() + System.lineSeparator()
--- a/cli/src/main/java/org/toucanmast/cli/ConfigurationEditor.java
+++ b/cli/src/main/java/org/toucanmast/cli/ConfigurationEditor.java
@@ -88,8 +88,7 @@
               } catch (CommandException e) {
                 return Future.failedFuture(e);
               } catch (InvalidTextException e) {
-                return Future.failedFuture(
-                    new CommandException(ExitCodes.INVALID, e.getMessage()));
+                return Future.failedFuture(new CommandException(ExitCodes.INVALID, e.getMessage()));
               }
             });
   }
--- a/cli/src/main/java/org/toucanmast/cli/DataCentreCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/DataCentreCommand.java
@@ -32,7 +32,6 @@
 
   private int setState(EditOptions options, String name, String state) throws CommandException {
     return options.edit(
-        spec,
-        document -> DocumentEdits.set(document, "data-centre", name, Map.of("state", state)));
+        spec, document -> DocumentEdits.set(document, "data-centre", name, Map.of("state", state)));
   }
 }
--- a/cli/src/main/java/org/toucanmast/cli/DocumentEdits.java
+++ b/cli/src/main/java/org/toucanmast/cli/DocumentEdits.java
@@ -25,8 +25,7 @@
     for (Section section : document.getSectionsList()) {
       boolean matches = section.getKind().equals(kind) && section.getName().equals(name);
       found |= matches;
-      changed.addSections(
-          matches ? section.toBuilder().putAllValues(values).build() : section);
+      changed.addSections(matches ? section.toBuilder().putAllValues(values).build() : section);
     }
     if (!found) {
       throw new CommandException(ExitCodes.INVALID, "there is no " + kind + " '" + name + "'");
--- a/cli/src/main/java/org/toucanmast/cli/KeyCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/KeyCommand.java
@@ -33,8 +33,7 @@
       name = "grant",
       mixinStandardHelpOptions = true,
       description = "Make a new key and print it; it cannot be shown again.")
-  int grant(
-      @Mixin EditOptions options, @Parameters(paramLabel = "CUSTOMER") String customer)
+  int grant(@Mixin EditOptions options, @Parameters(paramLabel = "CUSTOMER") String customer)
       throws CommandException {
     byte[] random = new byte[KEY_BYTES];
     new SecureRandom().nextBytes(random);
@@ -87,8 +86,7 @@
       @Parameters(paramLabel = "CUSTOMER") String customer,
       @Option(names = "--output", defaultValue = "table") OutputFormat output)
       throws CommandException {
-    ConfigurationDocument document =
-        platform.run(editor -> new ConfigurationEditor(editor).read());
+    ConfigurationDocument document = platform.run(editor -> new ConfigurationEditor(editor).read());
     List<List<String>> rows = hashesOf(document, customer).stream().map(List::of).toList();
     spec.commandLine().getOut().print(output.render(List.of("hash"), rows));
     return ExitCodes.OK;
--- a/cli/src/main/java/org/toucanmast/cli/Main.java
+++ b/cli/src/main/java/org/toucanmast/cli/Main.java
@@ -40,8 +40,8 @@
         .setExecutionExceptionHandler(Main::handle);
   }
 
-  private static int handle(
-      Exception error, CommandLine command, CommandLine.ParseResult parsed) throws Exception {
+  private static int handle(Exception error, CommandLine command, CommandLine.ParseResult parsed)
+      throws Exception {
     PrintWriter err = command.getErr();
     if (error instanceof InvalidTextException) {
       err.println(error.getMessage());
--- a/core/src/main/java/org/toucanmast/core/allowance/Holder.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/Holder.java
@@ -9,8 +9,8 @@
  * The holding side of one VM: a bucket for each customer, made of the shares that are lent to it.
  *
  * <p>When a lease runs out, the bucket's rate, capacity and tokens are cut before anything is given
- * out. When a share arrives, capacity grows and no token is added. So the tokens of all VMs together
- * never exceed those of a single bucket.
+ * out. When a share arrives, capacity grows and no token is added. So the tokens of all VMs
+ * together never exceed those of a single bucket.
  */
 public final class Holder {
 
--- a/core/src/main/java/org/toucanmast/core/allowance/Lender.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/Lender.java
@@ -101,9 +101,7 @@
   private boolean hasLetGo(String peer, long now) {
     Long lent = lentAt.get(peer);
     boolean gone =
-        lent == null
-            || acknowledged.getOrDefault(peer, -1L) >= version
-            || now - lent >= leaseBound;
+        lent == null || acknowledged.getOrDefault(peer, -1L) >= version || now - lent >= leaseBound;
     if (gone) {
       lentAt.remove(peer);
     }
--- a/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
@@ -156,7 +156,9 @@
   private void compileDatabase(String name, Map<String, String> values) {
     DatabaseSection section = read("database", name, values, DatabaseSection.getDefaultInstance());
     List<EndpointDescription> members =
-        section.getEndpointsList().stream().filter(endpoints::containsKey).map(endpoints::get)
+        section.getEndpointsList().stream()
+            .filter(endpoints::containsKey)
+            .map(endpoints::get)
             .toList();
     String preferred = section.getPreferredPrimary();
     if (!preferred.isEmpty() && !section.getEndpointsList().contains(preferred)) {
@@ -209,8 +211,7 @@
       }
       filled = TemplateFiller.fill(template, filled, (key, why) -> reader.report(label, key, why));
     }
-    CustomerSection section =
-        read("customer", name, filled, CustomerSection.getDefaultInstance());
+    CustomerSection section = read("customer", name, filled, CustomerSection.getDefaultInstance());
     registerKeys(label, name, section);
     addCustomer(name, section);
   }
--- a/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
@@ -54,7 +54,9 @@
     return !endpoint.leaving() && !closedDataCentres.contains(endpoint.dataCentre());
   }
 
-  /** Returns all allowances, of customers and of open routes, by the name they are counted under. */
+  /**
+   * Returns all allowances, of customers and of open routes, by the name they are counted under.
+   */
   public Map<String, Allowance> allowances() {
     Map<String, Allowance> allowances = new HashMap<>();
     customers.values().forEach(customer -> allowances.put(customer.name(), customer.allowance()));
--- a/core/src/main/java/org/toucanmast/core/fairness/FairQueue.java
+++ b/core/src/main/java/org/toucanmast/core/fairness/FairQueue.java
@@ -14,8 +14,8 @@
  * Waiting work, served in turn by customer (deficit round robin with equal weights).
  *
  * <p>Source: Shreedhar and Varghese, Efficient Fair Queuing using Deficit Round Robin, 1995. Each
- * item has a cost; in each turn a customer may use one quantum. A customer that sends too much fills
- * only its own queue.
+ * item has a cost; in each turn a customer may use one quantum. A customer that sends too much
+ * fills only its own queue.
  *
  * @param <T> the waiting item
  */
--- a/core/src/main/java/org/toucanmast/core/promotion/MoveDecision.java
+++ b/core/src/main/java/org/toucanmast/core/promotion/MoveDecision.java
@@ -37,9 +37,7 @@
       FleetConfiguration configuration, Database database, GroupView view) {
     return view.statuses().stream()
         .filter(status -> isCandidate(configuration, database, view, status.endpoint()))
-        .max(
-            Comparator.comparing(EndpointStatus::position)
-                .thenComparing(EndpointStatus::endpoint))
+        .max(Comparator.comparing(EndpointStatus::position).thenComparing(EndpointStatus::endpoint))
         .map(EndpointStatus::endpoint);
   }
 
--- a/core/src/main/java/org/toucanmast/core/session/SessionToken.java
+++ b/core/src/main/java/org/toucanmast/core/session/SessionToken.java
@@ -89,7 +89,6 @@
   }
 
   private static SessionView ofMessage(SessionPositionMessage view) {
-    return new SessionView(
-        new Position(view.getTerm(), view.getIndex()), view.getUncertainTerm());
+    return new SessionView(new Position(view.getTerm(), view.getIndex()), view.getUncertainTerm());
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -19,8 +19,8 @@
 import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.configuration.FleetConfiguration;
 import org.toucanmast.core.membership.Epoch;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.schema.PeerMessage;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenCount;
@@ -116,8 +116,7 @@
       Allowance allowance = allowances.get(wanted.getCustomer());
       if (allowance != null && holder.fractionOf(wanted.getCustomer(), now) > 0) {
         int count = holder.take(wanted.getCustomer(), allowance, wanted.getCount(), now);
-        grant.addGrants(
-            TokenCount.newBuilder().setCustomer(wanted.getCustomer()).setCount(count));
+        grant.addGrants(TokenCount.newBuilder().setCustomer(wanted.getCustomer()).setCount(count));
       }
     }
     if (grant.getGrantsCount() > 0) {
@@ -225,8 +224,7 @@
     ask.counts()
         .forEach(
             (customer, count) ->
-                message.addAsks(
-                    TokenCount.newBuilder().setCustomer(customer).setCount(count)));
+                message.addAsks(TokenCount.newBuilder().setCustomer(customer).setCount(count)));
     asks++;
     sender.test(peer, PeerMessage.newBuilder().setTokenAsk(message).build());
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/AnswerWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/AnswerWriter.java
@@ -4,8 +4,8 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.toucanmast.core.request.Outcome;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.session.SessionToken;
 import org.toucanmast.runtime.request.CallerAnswer;
 
@@ -35,8 +35,7 @@
     write(request, OK, answer.token(), body, closing);
   }
 
-  void refuse(
-      HttpServerRequest request, String id, RefusedException refused, SessionToken token) {
+  void refuse(HttpServerRequest request, String id, RefusedException refused, SessionToken token) {
     Refusal refusal = refused.refusal();
     JsonObject body =
         new JsonObject()
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/BodyReader.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/BodyReader.java
@@ -5,8 +5,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 
 /** Reads the body of a request, within a limit of size and time. */
 final class BodyReader {
@@ -29,8 +29,7 @@
     Buffer body = Buffer.buffer();
     long timer =
         vertx.setTimer(
-            timeoutInMilliseconds,
-            late -> whole.tryFail(new RefusedException(Refusal.TOO_SLOW)));
+            timeoutInMilliseconds, late -> whole.tryFail(new RefusedException(Refusal.TOO_SLOW)));
     request
         .handler(
             part -> {
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
@@ -16,8 +16,8 @@
 import org.slf4j.MDC;
 import org.toucanmast.core.configuration.ConfigurationState;
 import org.toucanmast.core.configuration.Route;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.RequestKind;
 import org.toucanmast.core.session.SessionToken;
 import org.toucanmast.runtime.metrics.RequestMetrics;
@@ -91,8 +91,7 @@
   /** Opens the listener. */
   public Future<Void> start() {
     HostAndPort address = HostAndPort.fromString(settings.getAddress());
-    vertx.setPeriodic(
-        LIMITER_INTERVAL_IN_MILLISECONDS, timer -> limiter.tick(clock.getAsLong()));
+    vertx.setPeriodic(LIMITER_INTERVAL_IN_MILLISECONDS, timer -> limiter.tick(clock.getAsLong()));
     server =
         vertx
             .createHttpServer(
@@ -192,8 +191,7 @@
       throw new RefusedException(Refusal.NOT_FOUND);
     }
     CallerRequest parsed =
-        parser.parse(
-            request, principal, handle.get().database(), body, RequestKind.WRITE, now);
+        parser.parse(request, principal, handle.get().database(), body, RequestKind.WRITE, now);
     return finish(
         request, parsed, service.step(new TransactionRequest(handle.get(), step, parsed)));
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/RequestParser.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/RequestParser.java
@@ -10,8 +10,8 @@
 import java.util.Locale;
 import java.util.UUID;
 import java.util.regex.Pattern;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.RequestKind;
 import org.toucanmast.core.routing.ReadFreshness;
 import org.toucanmast.core.session.InvalidSessionTokenException;
@@ -98,7 +98,11 @@
 
   /** Makes the request of an open route. */
   CallerRequest openRead(
-      HttpServerRequest http, Principal principal, String database, String statement, long age,
+      HttpServerRequest http,
+      Principal principal,
+      String database,
+      String statement,
+      long age,
       long now)
       throws RefusedException {
     return new CallerRequest(
@@ -125,8 +129,7 @@
       case "idempotent-write" -> RequestKind.IDEMPOTENT_WRITE;
       default ->
           throw malformed(
-              "kind must be read, write or idempotent-write, not "
-                  + kind.toLowerCase(Locale.ROOT));
+              "kind must be read, write or idempotent-write, not " + kind.toLowerCase(Locale.ROOT));
     };
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
@@ -27,8 +27,7 @@
   private boolean broken;
   private long usedAt;
 
-  EndpointConnection(
-      String endpoint, String vm, HttpClientConnection connection, long now) {
+  EndpointConnection(String endpoint, String vm, HttpClientConnection connection, long now) {
     this.endpoint = endpoint;
     this.vm = vm;
     this.connection = connection;
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointControl.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointControl.java
@@ -92,8 +92,7 @@
 
   private static Future<Verdict> parse(EndpointDescription endpoint, JsonObject json) {
     try {
-      EndpointStatus status =
-          EndpointJson.toStatus(endpoint.name(), json.getJsonObject("status"));
+      EndpointStatus status = EndpointJson.toStatus(endpoint.name(), json.getJsonObject("status"));
       return Future.succeededFuture(new Verdict(json.getBoolean("granted", true), status));
     } catch (ClassCastException | NullPointerException | IllegalArgumentException e) {
       return Future.failedFuture(new EndpointException(Kind.NO_ANSWER, e.getMessage()));
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
@@ -10,8 +10,8 @@
 import java.util.Deque;
 import java.util.function.LongSupplier;
 import org.toucanmast.core.fairness.FairQueue;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.runtime.endpoint.EndpointException.Kind;
 
 /**
@@ -103,8 +103,7 @@
   public void tick(long now, long idleTimeout) {
     waiting
         .removeIf(request -> now - request.deadline() >= 0)
-        .forEach(
-            late -> late.promise().fail(new RefusedException(Refusal.UNAVAILABLE)));
+        .forEach(late -> late.promise().fail(new RefusedException(Refusal.UNAVAILABLE)));
     while (!idle.isEmpty()
         && (idle.peekLast().isBroken() || now - idle.peekLast().idleSince() > idleTimeout)) {
       discard(idle.pollLast());
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -110,12 +110,7 @@
         endpoint.name(),
         name ->
             new EndpointPool(
-                name,
-                self,
-                endpoint.address(),
-                client,
-                (int) settings.getMaximumWaiting(),
-                clock));
+                name, self, endpoint.address(), client, (int) settings.getMaximumWaiting(), clock));
   }
 
   /** Returns the group's description. */
--- a/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
@@ -89,10 +89,9 @@
    *
    * @param observers the VMs that observe the group, the first to order first
    */
-  void tick(
-      FleetConfiguration configuration, Database database, List<String> observers, long now) {
+  void tick(FleetConfiguration configuration, Database database, List<String> observers, long now) {
     noteOwnSuspicion(observers.contains(self) && watch.suspects(now), now);
-    if (ordering || now - notBefore < 0) {
+    if (ordering || highestTerm == 0 || now - notBefore < 0) {
       return;
     }
     if (decision.shouldOrder(self, observers, view.term(), now)) {
@@ -129,17 +128,13 @@
 
   private void move(Database database, String target, long now) {
     String primary = view.primary().orElseThrow();
-    boolean known = database.endpoints().stream().map(EndpointDescription::name)
-        .anyMatch(primary::equals);
+    boolean known =
+        database.endpoints().stream().map(EndpointDescription::name).anyMatch(primary::equals);
     if (!known) {
       return;
     }
     PromotionOrder order = newOrder(database, target::equals, now);
-    run(
-        database,
-        order.move(primary, target),
-        PAUSE_AFTER_FAILED_MOVE_IN_NANOSECONDS,
-        now);
+    run(database, order.move(primary, target), PAUSE_AFTER_FAILED_MOVE_IN_NANOSECONDS, now);
   }
 
   private PromotionOrder newOrder(Database database, Predicate<String> preferred, long now) {
--- a/runtime/src/main/java/org/toucanmast/runtime/group/PromotionOrder.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/PromotionOrder.java
@@ -103,8 +103,7 @@
     for (EndpointDescription endpoint : database.endpoints()) {
       control
           .fence(endpoint, promotion.term(), orderer, CALL_TIMEOUT_IN_MILLISECONDS)
-          .onComplete(
-              verdict -> onVerdict(verdict, majority), cause -> onRefused(majority));
+          .onComplete(verdict -> onVerdict(verdict, majority), cause -> onRefused(majority));
     }
     return majority.future();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/ini/IniFile.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/IniFile.java
@@ -83,8 +83,7 @@
     }
   }
 
-  private static void findRepeatedSections(
-      String text, String source, List<TextProblem> problems) {
+  private static void findRepeatedSections(String text, String source, List<TextProblem> problems) {
     Set<String> seen = new HashSet<>();
     Matcher matcher = HEADER.matcher(text);
     while (matcher.find()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/ini/SettingsFile.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/SettingsFile.java
@@ -27,8 +27,7 @@
     Settings.Builder settings = Settings.newBuilder();
     for (String name : sections.keySet()) {
       if (Settings.getDescriptor().findFieldByName(name) == null) {
-        reader.report(
-            name, "", "is not a known section; expected one of " + knownSections());
+        reader.report(name, "", "is not a known section; expected one of " + knownSections());
       }
     }
     for (FieldDescriptor section : Settings.getDescriptor().getFields()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -78,6 +78,17 @@
     }
   }
 
+  /** Takes in that a peer can be sent to; a new run of it starts with nothing lent. */
+  public PeerState onLinked(PeerIdentity identity, long now) {
+    String name = identity.name();
+    return peers.of(
+        identity,
+        () -> {
+          lender.onPeerRestarted(name);
+          holder.onWithdrawn(name, now);
+        });
+  }
+
   /**
    * Takes in a heartbeat.
    *
@@ -85,13 +96,7 @@
    */
   public boolean onHeartbeat(PeerIdentity identity, PeerHeartbeat heartbeat, long now) {
     String name = identity.name();
-    PeerState peer =
-        peers.of(
-            identity,
-            () -> {
-              lender.onPeerRestarted(name);
-              holder.onWithdrawn(name, now);
-            });
+    PeerState peer = onLinked(identity, now);
     if (identity.incarnation() < peer.identity().incarnation() || !peer.accept(heartbeat, now)) {
       return false;
     }
@@ -147,7 +152,8 @@
     boolean lendsToSelf = owns(now) && lender.active().candidates().contains(self);
     if (lendsToSelf) {
       holder.onLease(
-          self, new Holder.Lease(now + leaseDuration, lender.active().fraction(), lender.active()),
+          self,
+          new Holder.Lease(now + leaseDuration, lender.active().fraction(), lender.active()),
           now);
     } else {
       holder.onWithdrawn(self, now);
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/PeerTable.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/PeerTable.java
@@ -54,10 +54,10 @@
 
   /** Removes a peer that the platform no longer lists and that is silent. */
   void retain(Set<String> listed, long now) {
-    peers.values()
+    peers
+        .values()
         .removeIf(
-            peer ->
-                !listed.contains(peer.identity().name()) && !peer.isLive(now, 100 * timeout));
+            peer -> !listed.contains(peer.identity().name()) && !peer.isLive(now, 100 * timeout));
   }
 
   /** Tells whether a VM is live: this one, or a peer heard within the timeout. */
--- a/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
@@ -35,9 +35,9 @@
 /**
  * The links to and from all peers, on a thread of their own.
  *
- * <p>Each VM opens one link to each peer and sends on it; what it receives comes over the links that
- * peers opened. A link that is down or full drops messages: heartbeats and asks are repeated, and
- * forwarded requests time out.
+ * <p>Each VM opens one link to each peer and sends on it; what it receives comes over the links
+ * that peers opened. A link that is down or full drops messages: heartbeats and asks are repeated,
+ * and forwarded requests time out.
  */
 public final class PeerNetwork {
   private static final int LENGTH_BYTES = 4;
@@ -48,7 +48,16 @@
 
   private record Outgoing(String vm, PeerMessage message) {}
 
-  private record Incoming(PeerIdentity sender, PeerMessage message) {}
+  /** A message from a peer, or null when the link to the peer was opened. */
+  private record Incoming(PeerIdentity sender, PeerMessage message) {
+    private void deliverTo(PeerEvents events) {
+      if (message == null) {
+        events.onLinked(sender);
+      } else {
+        events.onMessage(sender, message);
+      }
+    }
+  }
 
   private final PeerSettings settings;
   private final PeerHello hello;
@@ -87,8 +96,7 @@
     this.loop = group.next();
     int capacity = (int) settings.getRingCapacity();
     this.outgoing = new DutyRing<>(capacity, loop, this::transmit);
-    this.incoming =
-        new DutyRing<>(capacity, requests, in -> events.onMessage(in.sender(), in.message()));
+    this.incoming = new DutyRing<>(capacity, requests, event -> event.deliverTo(events));
     this.targets = new DutyRing<>(capacity, loop, this::retarget);
   }
 
@@ -178,8 +186,7 @@
         channel
             .pipeline()
             .addLast(tls.newHandler(channel.alloc()))
-            .addLast(
-                new LengthFieldBasedFrameDecoder(maximum, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+            .addLast(new LengthFieldBasedFrameDecoder(maximum, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
             .addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()))
             .addLast(new LengthFieldPrepender(LENGTH_BYTES))
             .addLast(new ProtobufEncoder())
@@ -214,6 +221,7 @@
       }
       own.put(peer, context.channel());
       channelsByVm.put(peer.name(), context.channel());
+      incoming.offer(new Incoming(peer, null));
     }
 
     @Override
--- a/runtime/src/main/java/org/toucanmast/runtime/peer/PeerSecurity.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerSecurity.java
@@ -17,8 +17,8 @@
 import org.toucanmast.schema.PeerSettings;
 
 /**
- * Mutual TLS between VMs. Both ends show a certificate of the fleet's authority, and the common name
- * of the certificate must be the VM name that the peer gives itself.
+ * Mutual TLS between VMs. Both ends show a certificate of the fleet's authority, and the common
+ * name of the certificate must be the VM name that the peer gives itself.
  */
 final class PeerSecurity {
   private final SslContext server;
--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -81,8 +81,8 @@
   /**
    * Changes an object if it still has the expected version; 0 creates it.
    *
-   * @return the new version; fails with {@link Kind#CONFLICT} when another edit came first, and with
-   *     {@link Kind#NO_ANSWER} when the change may or may not have taken effect
+   * @return the new version; fails with {@link Kind#CONFLICT} when another edit came first, and
+   *     with {@link Kind#NO_ANSWER} when the change may or may not have taken effect
    */
   public Future<Long> update(String kind, String name, long expectedVersion, String value) {
     String uri = path(kind, name) + "?expected=" + expectedVersion;
@@ -179,8 +179,7 @@
       for (int index = 0; index < list.size(); index++) {
         JsonObject vm = list.getJsonObject(index);
         String name = vm.getString("name");
-        live.put(
-            name, new ListedVm(name, vm.getString("dataCentre"), vm.getString("peerAddress")));
+        live.put(name, new ListedVm(name, vm.getString("dataCentre"), vm.getString("peerAddress")));
         if (vm.getBoolean("leaving", false)) {
           leaving.add(name);
         }
--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformDuty.java
@@ -74,8 +74,7 @@
             RING_CAPACITY, task -> duty.runOnContext(nothing -> task.run()), Order::apply);
     client = new PlatformClient(vertx, settings.getAddress(), timeout);
     watchConfiguration();
-    vertx.setPeriodic(
-        0, settings.getListInterval() / NANOSECONDS_PER_MILLISECOND, timer -> list());
+    vertx.setPeriodic(0, settings.getListInterval() / NANOSECONDS_PER_MILLISECOND, timer -> list());
     return Future.succeededFuture();
   }
 
@@ -141,8 +140,7 @@
   private long pauseAfterFailure() {
     long bound =
         Math.min(
-            MAXIMUM_PAUSE_IN_MILLISECONDS,
-            MINIMUM_PAUSE_IN_MILLISECONDS << Math.min(failures, 10));
+            MAXIMUM_PAUSE_IN_MILLISECONDS, MINIMUM_PAUSE_IN_MILLISECONDS << Math.min(failures, 10));
     return bound / 2 + random.nextInt((int) bound / 2 + 1);
   }
 
@@ -169,8 +167,7 @@
             "epoch",
             current.number(),
             new JsonObject().put("members", names).encode())
-        .onSuccess(
-            version -> events.offer(() -> listener.onEpoch(new Epoch(version, members))))
+        .onSuccess(version -> events.offer(() -> listener.onEpoch(new Epoch(version, members))))
         .onFailure(cause -> log.log(Level.INFO, "epoch proposal: {0}", cause.getMessage()));
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/request/Access.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/Access.java
@@ -6,8 +6,8 @@
 import org.toucanmast.core.configuration.ConfigurationState;
 import org.toucanmast.core.configuration.Customer;
 import org.toucanmast.core.configuration.FleetConfiguration;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 
 /** Decides whether a key opens a database now; asked again whenever a request has waited. */
 public final class Access {
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
@@ -7,8 +7,8 @@
 import org.toucanmast.core.group.AcknowledgementRule;
 import org.toucanmast.core.group.LogSummary.Coverage;
 import org.toucanmast.core.group.Position;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.RequestKind;
 import org.toucanmast.core.routing.Destination;
 import org.toucanmast.core.session.SessionToken;
@@ -18,7 +18,6 @@
 import org.toucanmast.runtime.endpoint.EndpointConnection;
 import org.toucanmast.runtime.endpoint.EndpointException;
 import org.toucanmast.runtime.endpoint.EndpointReply;
-import org.toucanmast.runtime.group.Confirmation;
 import org.toucanmast.runtime.group.DatabaseGroup;
 
 /**
@@ -66,12 +65,7 @@
     return group
         .router()
         .forRead(
-            group.view(),
-            request.token(),
-            request.freshness(),
-            path.now(),
-            tried,
-            group::loadOf);
+            group.view(), request.token(), request.freshness(), path.now(), tried, group::loadOf);
   }
 
   private boolean hasSeenLostWrite() {
@@ -108,8 +102,7 @@
         .call(call, path.timeoutFor(request))
         .onComplete(done -> path.release(group, connection))
         .compose(
-            reply -> onReply(destination, reply, sentAt),
-            cause -> onNoReply(destination, cause));
+            reply -> onReply(destination, reply, sentAt), cause -> onNoReply(destination, cause));
   }
 
   private Future<CallerAnswer> onNoReply(Destination destination, Throwable cause) {
@@ -133,8 +126,7 @@
     }
   }
 
-  private Future<CallerAnswer> onReply(
-      Destination destination, EndpointReply reply, long sentAt) {
+  private Future<CallerAnswer> onReply(Destination destination, EndpointReply reply, long sentAt) {
     group.view().learn(reply.status());
     return switch (reply.result()) {
       case RAN ->
@@ -147,8 +139,7 @@
         yield again();
       }
       case REFUSED ->
-          Future.failedFuture(
-              new RefusedException(Refusal.REFUSED_BY_DATABASE, reply.message()));
+          Future.failedFuture(new RefusedException(Refusal.REFUSED_BY_DATABASE, reply.message()));
       case NO_TRANSACTION -> refuse(Refusal.ROLLED_BACK);
     };
   }
@@ -205,12 +196,7 @@
       token = token.with(database(), token.viewOf(database()).settledBy(destination.term()));
     }
     return new CallerAnswer(
-        reply.rows(),
-        token,
-        destination.endpoint(),
-        !destination.primary(),
-        reply.duplicate(),
-        "");
+        reply.rows(), token, destination.endpoint(), !destination.primary(), reply.duplicate(), "");
   }
 
   private Future<CallerAnswer> again() {
@@ -229,9 +215,7 @@
   /** Says "unknown" of anything that may have run, and marks the session's token. */
   private RequestFailure truthful(Throwable cause) {
     RefusedException refused =
-        cause instanceof RefusedException known
-            ? known
-            : new RefusedException(Refusal.UNAVAILABLE);
+        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
     if (mayHaveRun) {
       refused =
           refused.refusal() == Refusal.UNAVAILABLE
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestPath.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestPath.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.routing.Destination;
 import org.toucanmast.runtime.allowance.AllowanceDuty;
 import org.toucanmast.runtime.endpoint.EndpointConnection;
@@ -94,8 +94,7 @@
 
   /** Returns where a request that must run at the primary goes, once a primary is known. */
   public Future<Destination> awaitPrimary(DatabaseGroup group, CallerRequest request) {
-    Optional<Destination> destination =
-        group.router().forPrimary(group.view(), request.token());
+    Optional<Destination> destination = group.router().forPrimary(group.view(), request.token());
     if (destination.isPresent()) {
       return Future.succeededFuture(destination.get());
     }
@@ -160,9 +159,7 @@
       return cause;
     }
     RefusedException refused =
-        cause instanceof RefusedException known
-            ? known
-            : new RefusedException(Refusal.UNAVAILABLE);
+        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
     return new RequestFailure(refused, request.token());
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/ForwardDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/ForwardDuty.java
@@ -8,8 +8,8 @@
 import java.util.function.BiPredicate;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.RequestKind;
 import org.toucanmast.core.routing.ReadFreshness;
 import org.toucanmast.core.session.InvalidSessionTokenException;
@@ -24,8 +24,7 @@
 
 /** Passes steps of transactions on to the VM that owns them, and answers such steps of peers. */
 public final class ForwardDuty {
-  private record Pending(
-      Promise<CallerAnswer> promise, TransactionRequest step, long deadline) {}
+  private record Pending(Promise<CallerAnswer> promise, TransactionRequest step, long deadline) {}
 
   private final BiPredicate<String, PeerMessage> sender;
   private final Function<TransactionRequest, Future<CallerAnswer>> local;
@@ -151,8 +150,7 @@
   }
 
   private void reply(String peer, long id, ForwardReply.Builder reply) {
-    sender.test(
-        peer, PeerMessage.newBuilder().setForwardReply(reply.setForwardId(id)).build());
+    sender.test(peer, PeerMessage.newBuilder().setForwardReply(reply.setForwardId(id)).build());
   }
 
   private static ForwardReply.Builder answerOf(CallerAnswer answer) {
@@ -168,8 +166,7 @@
         cause instanceof RequestFailure known
             ? known
             : new RequestFailure(
-                new RefusedException(Refusal.UNAVAILABLE).ofUnknownOutcome(),
-                SessionToken.empty());
+                new RefusedException(Refusal.UNAVAILABLE).ofUnknownOutcome(), SessionToken.empty());
     RefusedException refused = failure.refused();
     return ForwardReply.newBuilder()
         .setRefusal(refused.refusal().name())
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.toucanmast.core.group.LogSummary.Coverage;
-import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.request.RequestKind;
 import org.toucanmast.core.routing.Destination;
 import org.toucanmast.core.session.SessionToken;
@@ -102,7 +102,8 @@
       Destination destination,
       EndpointConnection connection,
       CallerRequest request) {
-    TransactionHandle handle = TransactionHandle.create(self, group.database().name(), destination.term());
+    TransactionHandle handle =
+        TransactionHandle.create(self, group.database().name(), destination.term());
     open.put(
         handle.id(),
         new OpenTransaction(
@@ -271,12 +272,7 @@
   private static EndpointCall call(
       Operation operation, CallerRequest request, Destination destination) {
     return new EndpointCall(
-        operation,
-        request.id(),
-        RequestKind.WRITE,
-        destination.term(),
-        true,
-        request.statements());
+        operation, request.id(), RequestKind.WRITE, destination.term(), true, request.statements());
   }
 
   private static <T> Future<T> refuse(Refusal refusal) {
@@ -288,9 +284,7 @@
       return Future.failedFuture(cause);
     }
     RefusedException refused =
-        cause instanceof RefusedException known
-            ? known
-            : new RefusedException(Refusal.UNAVAILABLE);
+        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
     return Future.failedFuture(new RequestFailure(refused, token));
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/EntryVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/EntryVm.java
@@ -45,9 +45,7 @@
   public static EntryVm start(Settings settings) throws StartException {
     Vertx vertx =
         Vertx.vertx(
-            new VertxOptions()
-                .setEventLoopPoolSize(DUTY_THREADS)
-                .setPreferNativeTransport(false));
+            new VertxOptions().setEventLoopPoolSize(DUTY_THREADS).setPreferNativeTransport(false));
     MetricRegistry registry = new MetricRegistry();
     RequestsDuty requests = new RequestsDuty(settings, registry);
     EntryVm vm = new EntryVm(settings, vertx, requests);
@@ -76,10 +74,7 @@
     await(vertx.deployVerticle(platform), "the platform client");
     AdminServer admin =
         new AdminServer(
-            settings.getCallers().getAdminAddress(),
-            registry,
-            requests::isReady,
-            requests::status);
+            settings.getCallers().getAdminAddress(), registry, requests::isReady, requests::status);
     await(vertx.deployVerticle(admin), "the listener for health and metrics");
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
@@ -162,8 +162,7 @@
         peer,
         PeerMessage.newBuilder()
             .setConfigurationPull(
-                ConfigurationPull.newBuilder()
-                    .setKnownRevision(configuration.current().revision()))
+                ConfigurationPull.newBuilder().setKnownRevision(configuration.current().revision()))
             .build());
   }
 
@@ -233,8 +232,7 @@
   /** Does what is due at the heartbeat interval. */
   void tick(long now) {
     long limit = settings.getPlatform().getKeyFreshnessLimit() * 2 / 3;
-    platform.watch(
-        WatchDecision.shouldWatch(self, peers.live(now), configuration.age(now), limit));
+    platform.watch(WatchDecision.shouldWatch(self, peers.live(now), configuration.age(now), limit));
     for (PeerState peer : peers.all()) {
       onDigestAgain(peer);
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -98,8 +98,7 @@
   @Override
   public Future<?> start() {
     createEndpointClients();
-    allowances =
-        new AllowanceDuty(vertx, self, holder, this::askingView, this::sendToPeer, clock);
+    allowances = new AllowanceDuty(vertx, self, holder, this::askingView, this::sendToPeer, clock);
     fleet =
         new FleetDuty(
             settings,
@@ -135,8 +134,7 @@
 
   private void createEndpointClients() {
     endpointClient =
-        vertx.createHttpClient(
-            new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true));
+        vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true));
     control =
         new EndpointControl(
             vertx.createHttpClient(
@@ -153,8 +151,7 @@
     transactions = new TransactionDuty(self, path, idleTimeout);
     forwards = new ForwardDuty(this::sendToPeer, this::localStep, clock);
     callers =
-        new CallerServer(
-            vertx, settings.getCallers(), configuration, access, this, metrics, clock);
+        new CallerServer(vertx, settings.getCallers(), configuration, access, this, metrics, clock);
   }
 
   private PeerHello hello() {
@@ -181,8 +178,7 @@
     context.runOnContext(
         nothing -> {
           fleet.connect(platform);
-          long interval =
-              settings.getPeers().getHeartbeatInterval() / NANOSECONDS_PER_MILLISECOND;
+          long interval = settings.getPeers().getHeartbeatInterval() / NANOSECONDS_PER_MILLISECOND;
           vertx.setPeriodic(interval, timer -> beat());
           vertx.setPeriodic(TICK_IN_MILLISECONDS, timer -> tick());
         });
@@ -251,6 +247,11 @@
     forwards.tick(now);
   }
 
+  @Override
+  public void onLinked(PeerIdentity peer) {
+    heartbeats.onLinked(peer, clock.getAsLong());
+  }
+
   @Override
   public void onMessage(PeerIdentity sender, PeerMessage message) {
     long now = clock.getAsLong();
@@ -304,13 +305,7 @@
         nothing ->
             promise.complete(
                 StatusReport.of(
-                    self,
-                    isReady(),
-                    configuration,
-                    peers,
-                    epochs,
-                    groups,
-                    clock.getAsLong())));
+                    self, isReady(), configuration, peers, epochs, groups, clock.getAsLong())));
     return promise.future();
   }
 
--- a/standin/src/main/java/org/toucanmast/standin/LoadCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/LoadCommand.java
@@ -57,9 +57,7 @@
     }
     LoadReport report =
         LoadReport.of(
-            history,
-            scenario.customers(),
-            HistoryChecker.check(history, allowancesOf(scenario)));
+            history, scenario.customers(), HistoryChecker.check(history, allowancesOf(scenario)));
     spec.commandLine()
         .getOut()
         .print(
--- a/standin/src/main/java/org/toucanmast/standin/QuickstartCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/QuickstartCommand.java
@@ -79,11 +79,11 @@
 
   private LoadReport load(Fleet fleet, PrintWriter out) throws InvalidTextException {
     String configuration = fleet.fill(deployment.template());
-    LoadScenario scenario =
-        SampleLoad.of(configuration, SHARE, seconds + "s", 1, Map.of());
+    LoadScenario scenario = SampleLoad.of(configuration, SHARE, seconds + "s", 1, Map.of());
     Vertx vertx = Vertx.vertx();
     vertx.setPeriodic(
-        PROGRESS_IN_MILLISECONDS, timer -> {
+        PROGRESS_IN_MILLISECONDS,
+        timer -> {
           out.print('.');
           out.flush();
         });
@@ -109,26 +109,16 @@
     String customer = deployment == Deployment.ASSOCIATION ? "shop-aflao" : "bench-1";
     String database = deployment == Deployment.ASSOCIATION ? "timetables-coast" : "stock";
     say(out, "By hand (with --keep, while it runs):");
-    say(
-        out,
-        String.format(
-            """
-              curl -i -H 'Authorization: Bearer %s' -d '{"statements":["put pair-17 sorted"]}' \
-            http://%s/v1/databases/%s/requests
-              curl -i -H 'Authorization: Bearer %s' -d '{"kind":"read","statements":["get pair-17"]}' \
-            http://%s/v1/databases/%s/requests
-              curl http://%s/status
-              curl http://%s/metrics
-            The answer's Session-Token header, sent back with a request, makes the session read what\
-             it wrote.""",
-            Fleet.keyOf(customer),
-            vm.callers(),
-            database,
-            Fleet.keyOf(customer),
-            vm.callers(),
-            database,
-            vm.admin(),
-            vm.admin()));
+    String authorization = "-H 'Authorization: Bearer " + Fleet.keyOf(customer) + "'";
+    String url = "http://" + vm.callers() + "/v1/databases/" + database + "/requests";
+    String write = "'{\"statements\":[\"put pair-17 sorted\"]}'";
+    String read = "'{\"kind\":\"read\",\"statements\":[\"get pair-17\"]}'";
+    say(out, "  curl -i " + authorization + " -d " + write + " " + url);
+    say(out, "  curl -i " + authorization + " -d " + read + " " + url);
+    say(out, "  curl http://" + vm.admin() + "/status");
+    say(out, "  curl http://" + vm.admin() + "/metrics");
+    say(out, "The Session-Token header of an answer, sent back with the next request, makes the");
+    say(out, "session read what it wrote.");
     Path directory = fleet.directory();
     if (keep) {
       say(out, "Platform: " + fleet.platformAddress() + ", files: " + directory);
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointServer.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointServer.java
@@ -99,8 +99,7 @@
   private void serve(HttpServerRequest request, Buffer body) {
     JsonObject json = body.toJsonObject();
     switch (request.path()) {
-      case "/status" ->
-          answer(request, new JsonObject().put("status", endpoint.status()));
+      case "/status" -> answer(request, new JsonObject().put("status", endpoint.status()));
       case "/fence" ->
           answer(request, endpoint.fence(json.getLong("term"), json.getString("orderer")));
       case "/promote" ->
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointStandin.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointStandin.java
@@ -202,8 +202,7 @@
     }
   }
 
-  private JsonObject runAlone(JsonObject call, List<String> statements)
-      throws StatementException {
+  private JsonObject runAlone(JsonObject call, List<String> statements) throws StatementException {
     if (call.getString("kind").equals("read")) {
       for (String statement : statements) {
         if (!statement.startsWith("get ")) {
@@ -245,8 +244,7 @@
     return ran(rows, log.end(), false);
   }
 
-  private JsonObject commit(HttpConnection connection, String requestId)
-      throws StatementException {
+  private JsonObject commit(HttpConnection connection, String requestId) throws StatementException {
     Session session = sessions.remove(connection);
     if (session == null || session.term != term) {
       return refusal("no-transaction", "no transaction is open on this connection");
--- a/standin/src/main/java/org/toucanmast/standin/database/KeyValueState.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/KeyValueState.java
@@ -61,8 +61,7 @@
         values.put(key, words[2]);
         yield words[2];
       }
-      case "append" ->
-          values.merge(key, words[2], (before, added) -> before + "," + added);
+      case "append" -> values.merge(key, words[2], (before, added) -> before + "," + added);
       case "add" -> {
         long sum = Long.parseLong(values.getOrDefault(key, "0")) + Long.parseLong(words[2]);
         values.put(key, Long.toString(sum));
--- a/standin/src/main/java/org/toucanmast/standin/database/ReplicatedLog.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/ReplicatedLog.java
@@ -67,7 +67,8 @@
   private void add(LogEntry entry) {
     entries.add(entry);
     indexOfRequest.put(entry.requestId(), entries.size());
-    boolean first = termStarts.isEmpty() || termStarts.get(termStarts.size() - 1).term() < entry.term();
+    boolean first =
+        termStarts.isEmpty() || termStarts.get(termStarts.size() - 1).term() < entry.term();
     if (first) {
       termStarts.add(new Position(entry.term(), entries.size()));
     }
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Control.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Control.java
@@ -80,8 +80,7 @@
   }
 
   private String put(String address, String path, String body) throws IOException {
-    return body(
-        request(address, path).PUT(HttpRequest.BodyPublishers.ofString(body)).build());
+    return body(request(address, path).PUT(HttpRequest.BodyPublishers.ofString(body)).build());
   }
 
   private static HttpRequest.Builder request(String address, String path) {
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Deployment.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Deployment.java
@@ -11,8 +11,7 @@
   /** Spectacles: three data centres, 3 slots and 20 connections for each endpoint. */
   LENTES("lentes.ini", List.of("medellin", "rionegro", "bello"), slots(3, 20, 10)),
   /** Timetables: four data centres, 2 slots and 30 connections for each endpoint. */
-  ASSOCIATION(
-      "association.ini", List.of("accra", "tema", "kasoa", "koforidua"), slots(2, 30, 25)),
+  ASSOCIATION("association.ini", List.of("accra", "tema", "kasoa", "koforidua"), slots(2, 30, 25)),
   /** Customers of both on three groups, for a first look. */
   QUICKSTART("quickstart.ini", List.of("east", "centre", "west"), slots(3, 20, 10));
 
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Fleet.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Fleet.java
@@ -104,8 +104,7 @@
     arguments.addAll(List.of("database-standin", "--control", controlAddress));
     for (int index = 0; index < endpoints.size(); index++) {
       endpointAddresses.put(endpoints.get(index), addresses.get(index));
-      arguments.addAll(
-          List.of("--endpoint", endpoints.get(index) + "=" + addresses.get(index)));
+      arguments.addAll(List.of("--endpoint", endpoints.get(index) + "=" + addresses.get(index)));
     }
     arguments.addAll(
         List.of(
@@ -218,10 +217,7 @@
   /** Waits until every running VM is ready, knows every primary and owns its share. */
   public void awaitReady() throws IOException {
     waitFor(
-        () ->
-            vms.values().stream()
-                .filter(vm -> vm.process().isAlive())
-                .allMatch(this::isSettled),
+        () -> vms.values().stream().filter(vm -> vm.process().isAlive()).allMatch(this::isSettled),
         "all VMs to be ready");
   }
 
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetCertificates.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetCertificates.java
@@ -22,8 +22,8 @@
   /** Makes an authority whose files stand in the directory. */
   public static FleetCertificates create(Path directory) throws IOException {
     try {
-      X509Bundle authority = builder("CN=fleet authority").setIsCertificateAuthority(true)
-          .buildSelfSigned();
+      X509Bundle authority =
+          builder("CN=fleet authority").setIsCertificateAuthority(true).buildSelfSigned();
       Files.writeString(directory.resolve("authority.pem"), authority.getCertificatePEM());
       return new FleetCertificates(directory, authority);
     } catch (IOException e) {
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetPlan.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetPlan.java
@@ -8,7 +8,8 @@
 /**
  * What a fleet consists of.
  *
- * <p>Example: {@code FleetPlan.of(Deployment.LENTES).withVms(3).withListLag(Duration.ofSeconds(2))}.
+ * <p>Example: {@code
+ * FleetPlan.of(Deployment.LENTES).withVms(3).withListLag(Duration.ofSeconds(2))}.
  *
  * @param deployment the sample deployment
  * @param configuration its configuration as INI, with places for addresses and keys
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetProcess.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetProcess.java
@@ -25,8 +25,7 @@
   }
 
   /** Starts a Java process with this process's class path. */
-  static FleetProcess start(
-      Path directory, String name, Class<?> mainClass, List<String> arguments)
+  static FleetProcess start(Path directory, String name, Class<?> mainClass, List<String> arguments)
       throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Ports.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Ports.java
@@ -5,26 +5,39 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Finds ports on the loopback address that nothing listens on. */
+/**
+ * Gives out ports on the loopback address, each one once, below the range from which systems take
+ * the ports of outgoing connections.
+ */
 final class Ports {
+  private static final int FIRST = 18_000;
+  private static final int LAST = 32_000;
+  private static final AtomicInteger NEXT = new AtomicInteger(FIRST);
+
   private Ports() {}
 
-  /** Returns addresses with different free ports. */
+  /** Returns addresses with different ports that nothing listens on. */
   static List<String> addresses(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
     List<String> addresses = new ArrayList<>();
-    try {
-      for (int index = 0; index < count; index++) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        sockets.add(socket);
-        addresses.add("127.0.0.1:" + socket.getLocalPort());
+    while (addresses.size() < count) {
+      int port = NEXT.getAndIncrement();
+      if (port > LAST) {
+        throw new IOException("no port is left between " + FIRST + " and " + LAST);
       }
-    } finally {
-      for (ServerSocket socket : sockets) {
-        socket.close();
+      if (isFree(port)) {
+        addresses.add("127.0.0.1:" + port);
       }
     }
     return addresses;
   }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
 }
--- a/standin/src/main/java/org/toucanmast/standin/fleet/SampleLoad.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/SampleLoad.java
@@ -37,8 +37,7 @@
       values.put("database", customer.databases().stream().sorted().findFirst().orElseThrow());
       values.put("rate", (long) customer.allowance().rate() + "/s");
       values.put("burst", Long.toString((long) customer.allowance().burst()));
-      values.put(
-          "arrivals", String.format("%.2f/s", customer.allowance().rate() * share));
+      values.put("arrivals", String.format("%.2f/s", customer.allowance().rate() * share));
       values.putAll(overrides.getOrDefault(customer.name(), Map.of()));
       text.append("\n[customer ").append(customer.name()).append("]\n");
       values.forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
--- a/standin/src/main/java/org/toucanmast/standin/load/HistoryChecker.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/HistoryChecker.java
@@ -132,9 +132,7 @@
         count++;
         double seconds = (entry.endedAt() - from) / MICROSECONDS_PER_SECOND;
         if (count > allowance.burst() + allowance.rate() * seconds + 1e-6) {
-          report(
-              Promise.ALLOWANCE,
-              customer + " had " + count + " requests in " + seconds + " s");
+          report(Promise.ALLOWANCE, customer + " had " + count + " requests in " + seconds + " s");
           return;
         }
       }
--- a/standin/src/main/java/org/toucanmast/standin/load/LoadReport.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/LoadReport.java
@@ -142,9 +142,7 @@
     List<Action> wanted = List.of(actions);
     long reads = entries.stream().filter(e -> e.ran() && wanted.contains(e.action())).count();
     long replica =
-        entries.stream()
-            .filter(e -> e.ran() && wanted.contains(e.action()) && e.replica())
-            .count();
+        entries.stream().filter(e -> e.ran() && wanted.contains(e.action()) && e.replica()).count();
     return reads == 0 ? 0 : replica / (double) reads;
   }
 
--- a/standin/src/main/java/org/toucanmast/standin/load/LoadRunner.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/LoadRunner.java
@@ -90,8 +90,7 @@
     this.client = new LoadClient(vertx);
     this.scenario = scenario;
     this.vms = List.copyOf(vms);
-    RandomGeneratorFactory<RandomGenerator> factory =
-        RandomGeneratorFactory.of("L64X128MixRandom");
+    RandomGeneratorFactory<RandomGenerator> factory = RandomGeneratorFactory.of("L64X128MixRandom");
     long seed = scenario.load().getSeed();
     for (Map.Entry<String, LoadCustomerSection> each : scenario.customers().entrySet()) {
       arrivals.add(
@@ -193,14 +192,15 @@
     switch (request.action()) {
       case APPEND ->
           body.put("kind", "write")
-              .put("statements", new JsonArray().add("append " + request.key() + " " + request.id()));
+              .put(
+                  "statements",
+                  new JsonArray().add("append " + request.key() + " " + request.id()));
       case AGED_READ ->
           body.put("kind", "read")
               .put("maximumAge", section.getMaximumAge() + "ns")
               .put("statements", new JsonArray().add("get " + request.key()));
       default ->
-          body.put("kind", "read")
-              .put("statements", new JsonArray().add("get " + request.key()));
+          body.put("kind", "read").put("statements", new JsonArray().add("get " + request.key()));
     }
     String path = "/v1/databases/" + section.getDatabase() + "/requests";
     return call(request, path, request.id(), body);
@@ -230,8 +230,7 @@
 
   private Future<Answer> call(Request request, String path, String id, JsonObject body) {
     LoadSession session = request.session();
-    return client.send(
-        request.vm(), path, session.section().getKey(), session.token(), id, body);
+    return client.send(request.vm(), path, session.section().getKey(), session.token(), id, body);
   }
 
   private static Answer withOutcome(Answer answer, String outcome) {
--- a/standin/src/main/java/org/toucanmast/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/toucanmast/standin/platform/PlatformStandin.java
@@ -16,8 +16,8 @@
  * The stand-in platform.
  *
  * <p>Paths: {@code /objects/KIND/NAME} to read, watch ({@code after}, {@code wait}) and change
- * ({@code expected}); {@code /vms} for the list of VMs; {@code /control/...} for experiments: {@code
- * PUT /control/fault}, {@code PUT /control/vms}, {@code GET /control/calls}.
+ * ({@code expected}); {@code /vms} for the list of VMs; {@code /control/...} for experiments:
+ * {@code PUT /control/fault}, {@code PUT /control/vms}, {@code GET /control/calls}.
  */
 public final class PlatformStandin extends VerticleBase {
   private static final int MAXIMUM_VALUE_IN_BYTES = 1_048_576;
