Acknowledgements and echoes name the run that they belong to

Cause: a VM that restarts counts its lending versions from the beginning, and took an acknowledgement meant for its earlier run as one of the new run's. It then moved its share while the old holder still used it, so both gave out tokens. Ruled out: the lease bound itself (a bound cut to half is found by the same model as a failure of its own). Change: a heartbeat names the incarnation that its echo and acknowledgement belong to; those of another run count for nothing.

--- a/core/src/test/java/org/toucanmast/core/allowance/SharedAllowanceModelTest.java
+++ b/core/src/test/java/org/toucanmast/core/allowance/SharedAllowanceModelTest.java
@@ -28,7 +28,7 @@
   private static final long LEASE_BOUND = 660 * MILLISECOND;
   private static final long BEAT = 100 * MILLISECOND;
   private static final long SILENCE = 500 * MILLISECOND;
-  private static final Allowance ALLOWANCE = new Allowance(50, 20);
+  private static final Allowance ALLOWANCE = new Allowance(300, 12);
   private static final String CUSTOMER = "bench";
 
   private record Message(int from, int to, long deliverAt, Beat beat) {}
@@ -37,6 +37,7 @@
       long incarnation,
       long sentAt,
       long echoed,
+      long echoedIncarnation,
       long epoch,
       long version,
       long acknowledged,
@@ -120,6 +121,7 @@
               incarnation,
               clock(now),
               echoed,
+              peer.incarnation,
               lender.active().epoch().number(),
               lender.version(),
               peer.newest == null ? 0 : peer.newest.version(),
@@ -146,11 +148,14 @@
       }
       peer.newest = beat;
       peer.heardAt = clock;
-      lender.onAcknowledged(name, beat.acknowledged());
+      boolean knowsThisRun = beat.echoedIncarnation() == incarnation;
+      if (knowsThisRun) {
+        lender.onAcknowledged(name, beat.acknowledged());
+      }
       gate.onPeerAdopted(name, beat.epoch());
       if (!beat.active()) {
         holder.onWithdrawn(name, clock);
-      } else if (beat.echoed() != 0 && beat.echoed() <= clock) {
+      } else if (knowsThisRun && beat.echoed() != 0 && beat.echoed() <= clock) {
         holder.onLease(
             name,
             new Holder.Lease(beat.echoed() + LEASE, beat.view().fraction(), beat.view()),
@@ -167,6 +172,8 @@
   private final List<Message> network = new ArrayList<>();
   private final Deque<Long> taken = new ArrayDeque<>();
   private long total;
+  private boolean demand;
+  private long demandChangesAt;
 
   private void transmit(int from, int to, Beat beat, long now) {
     if (cut[from][to] || random.nextInt(20) == 0) {
@@ -194,6 +201,10 @@
 
     long end = 20_000 * MILLISECOND;
     for (long now = 0; now < end; now += MILLISECOND) {
+      if (now >= demandChangesAt) {
+        demand = !demand;
+        demandChangesAt = now + random.nextInt(demand ? 900 : 500) * MILLISECOND;
+      }
       disturb(now);
       deliver(now);
       for (Vm vm : vms) {
@@ -211,6 +222,8 @@
     network.clear();
     taken.clear();
     total = 0;
+    demand = false;
+    demandChangesAt = 0;
     epoch = new Epoch(1, names(count));
     vms = new Vm[count];
     cut = new boolean[count][count];
@@ -220,22 +233,35 @@
   }
 
   private void disturb(long now) {
-    if (random.nextInt(700) != 0) {
+    if (random.nextInt(400) != 0) {
       return;
     }
     int victim = random.nextInt(vms.length);
-    switch (random.nextInt(5)) {
+    switch (random.nextInt(7)) {
       case 0 -> vms[victim].pausedUntil = now + random.nextInt(2_000) * MILLISECOND;
       case 1 -> cut[victim][random.nextInt(vms.length)] = true;
       case 2 -> cut = new boolean[vms.length][vms.length];
       case 3 -> {
         vms[victim] = new Vm(victim, now);
-        vms[victim].pausedUntil = now + random.nextInt(1_500) * MILLISECOND;
+        vms[victim].pausedUntil = now + random.nextInt(150) * MILLISECOND;
+      }
+      case 4 -> isolate(victim);
+      case 5 -> {
+        int other = random.nextInt(vms.length);
+        cut[victim][other] = true;
+        cut[other][victim] = true;
       }
       default -> changeEpoch(now);
     }
   }
 
+  private void isolate(int victim) {
+    for (int other = 0; other < vms.length; other++) {
+      cut[victim][other] = true;
+      cut[other][victim] = true;
+    }
+  }
+
   /** Removes a VM that has just died, or takes back one that was removed. */
   private void changeEpoch(long now) {
     SortedSet<String> members = new TreeSet<>(epoch.members());
@@ -265,7 +291,8 @@
       vm.beat(now);
       vm.nextBeat = now + BEAT;
     }
-    int count = vm.holder.take(CUSTOMER, ALLOWANCE, 1 + random.nextInt(8), vm.clock(now));
+    int wanted = demand ? 20 : 0;
+    int count = vm.holder.take(CUSTOMER, ALLOWANCE, wanted, vm.clock(now));
     for (int token = 0; token < count; token++) {
       taken.addLast(now);
       total++;
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -26,6 +26,7 @@
  */
 public final class HeartbeatDuty {
   private final String self;
+  private final long incarnation;
   private final long leaseDuration;
   private final PeerTable peers;
   private final ConfigurationState configuration;
@@ -39,12 +40,14 @@
   /**
    * Creates the duty.
    *
+   * @param incarnation this run of this VM; what peers echo of earlier runs counts for nothing
    * @param leaseDuration how long a lent share counts at its holder, in nanoseconds
    * @param groups the database groups of this VM by name
    * @param sender sends a message to a peer
    */
   public HeartbeatDuty(
       String self,
+      long incarnation,
       long leaseDuration,
       PeerTable peers,
       ConfigurationState configuration,
@@ -54,6 +57,7 @@
       Map<String, DatabaseGroup> groups,
       BiPredicate<String, PeerMessage> sender) {
     this.self = self;
+    this.incarnation = incarnation;
     this.leaseDuration = leaseDuration;
     this.peers = peers;
     this.configuration = configuration;
@@ -101,7 +105,9 @@
       return false;
     }
     Lending lending = heartbeat.getLending();
-    lender.onAcknowledged(name, lending.getAcknowledgedVersion());
+    if (heartbeat.getEchoedIncarnation() == incarnation) {
+      lender.onAcknowledged(name, lending.getAcknowledgedVersion());
+    }
     epochs.onPeerAdopted(name, lending.getEpoch());
     takeLease(name, heartbeat, now);
     takeJudgements(name, heartbeat, now);
@@ -116,7 +122,8 @@
       return;
     }
     long echoed = heartbeat.getEchoed();
-    if (echoed == 0 || echoed - now > 0) {
+    boolean knowsThisRun = heartbeat.getEchoedIncarnation() == incarnation;
+    if (!knowsThisRun || echoed == 0 || echoed - now > 0) {
       return;
     }
     LendingView view =
@@ -226,7 +233,11 @@
       }
     }
     return PeerMessage.newBuilder()
-        .setHeartbeat(common.toBuilder().setEchoed(echoed).setLending(lending))
+        .setHeartbeat(
+            common.toBuilder()
+                .setEchoed(echoed)
+                .setEchoedIncarnation(peer.identity().incarnation())
+                .setLending(lending))
         .build();
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -59,6 +59,7 @@
   private final RequestMetrics metrics;
   private final LongSupplier clock = System::nanoTime;
   private final InstantSource wallClock = InstantSource.system();
+  private final long incarnation = wallClock.millis();
   private final String self;
   private final ConfigurationState configuration = new ConfigurationState();
   private final Map<String, DatabaseGroup> groups = new HashMap<>();
@@ -113,6 +114,7 @@
     heartbeats =
         new HeartbeatDuty(
             self,
+            incarnation,
             settings.getPeers().getLeaseDuration(),
             peers,
             configuration,
@@ -159,7 +161,7 @@
         .setVm(self)
         .setDataCentre(settings.getVm().getDataCentre())
         .setAddress(settings.getPeers().getAddress())
-        .setIncarnation(wallClock.millis())
+        .setIncarnation(incarnation)
         .build();
   }
 
