--- a/runtime/src/main/java/org/toucanmast/runtime/group/GroupObserver.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/GroupObserver.java
@@ -3,7 +3,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
@@ -33,6 +35,7 @@
   private final long timeoutInMilliseconds;
   private final GroupView view;
   private final ConfirmationQueue<Promise<Confirmation>> waiting = new ConfirmationQueue<>();
+  private final List<Promise<Void>> refreshing = new ArrayList<>();
   private final Set<String> outstanding = new HashSet<>();
   private BiConsumer<ObservationRound, Long> finished = (round, now) -> {};
   private Database database;
@@ -90,13 +93,22 @@
     return promise.future();
   }
 
+  /** Completes when a majority has answered in a round that starts now or soon. */
+  public Future<Void> refresh() {
+    Promise<Void> promise = Promise.promise();
+    refreshing.add(promise);
+    schedule();
+    return promise.future();
+  }
+
   /** Starts a round now. */
   public void observe() {
     long now = clock.getAsLong();
     startedAt = now;
     rounds++;
     ObservationRound round = new ObservationRound(now, database.majority());
-    Tracker tracker = new Tracker(round);
+    Tracker tracker = new Tracker(round, List.copyOf(refreshing));
+    refreshing.clear();
     for (EndpointDescription endpoint : database.endpoints()) {
       if (outstanding.add(endpoint.name())) {
         tracker.expected++;
@@ -107,6 +119,9 @@
                 cause -> tracker.onAnswer(endpoint.name(), null));
       }
     }
+    if (tracker.expected == 0) {
+      tracker.refreshed.forEach(Promise::tryComplete);
+    }
   }
 
   /** Ends the waiting of answers whose deadline has passed, and repeats rounds while any wait. */
@@ -146,10 +161,12 @@
     private final ObservationRound round;
     private int expected;
     private int ended;
+    private final List<Promise<Void>> refreshed;
     private boolean learned;
 
-    Tracker(ObservationRound round) {
+    Tracker(ObservationRound round, List<Promise<Void>> refreshed) {
       this.round = round;
+      this.refreshed = refreshed;
     }
 
     private void onAnswer(String endpoint, EndpointStatus status) {
@@ -163,6 +180,9 @@
         learnOnce();
         settle(round);
       }
+      if (ended == expected || ended >= database.majority()) {
+        refreshed.forEach(Promise::tryComplete);
+      }
       if (ended == expected) {
         finished.accept(round, clock.getAsLong());
         if (!waiting.isEmpty()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
@@ -70,6 +70,7 @@
   private final DutyRing<Set<String>> targets;
   private final Map<String, Channel> channelsByVm = new HashMap<>();
   private final Set<String> dialled = new HashSet<>();
+  private final Set<String> ownAddresses = new HashSet<>();
   private Set<String> wantedAddresses = Set.of();
 
   /**
@@ -156,7 +157,7 @@
 
   private void dialMissing() {
     for (String address : wantedAddresses) {
-      if (dialled.add(address)) {
+      if (!ownAddresses.contains(address) && dialled.add(address)) {
         dialOne(address);
       }
     }
@@ -173,7 +174,7 @@
             .option(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 new WriteBufferWaterMark(LOW_WATER_MARK_IN_BYTES, HIGH_WATER_MARK_IN_BYTES))
-            .handler(initializer(security.client(), new OutboundOwner()));
+            .handler(initializer(security.client(), new OutboundOwner(address)));
     Channel channel = bootstrap.connect(target.getHost(), target.getPort()).channel();
     channel.closeFuture().addListener(closed -> dialled.remove(address));
   }
@@ -211,11 +212,17 @@
 
   /** Links that this VM opened: messages go out. */
   private final class OutboundOwner implements LinkHandler.Owner {
+    private final String address;
     private final Map<PeerIdentity, Channel> own = new HashMap<>();
 
+    private OutboundOwner(String address) {
+      this.address = address;
+    }
+
     @Override
     public void onIdentified(ChannelHandlerContext context, PeerIdentity peer) {
       if (peer.name().equals(hello.getVm())) {
+        ownAddresses.add(address);
         context.close();
         return;
       }
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
@@ -31,6 +31,7 @@
   private final CallerRequest request;
   private final Set<String> tried = new HashSet<>();
   private boolean mayHaveRun;
+  private boolean refreshed;
   private long uncertainTerm;
 
   RequestAttempts(RequestPath path, DatabaseGroup group, CallerRequest request) {
@@ -52,12 +53,29 @@
     if (destination.isEmpty()) {
       return again();
     }
+    if (wantsFresherView(destination.get())) {
+      refreshed = true;
+      return group.observer().refresh().compose(nothing -> attempt());
+    }
     return path.connect(group, destination.get(), request)
         .compose(
             connection -> send(destination.get(), connection),
             cause -> onNotConnected(destination.get(), cause));
   }
 
+  /**
+   * Tells whether a read should learn of the replicas' positions before it goes to the primary: one
+   * round costs no more than the confirmation that a primary's answer waits for.
+   */
+  private boolean wantsFresherView(Destination destination) {
+    boolean replicaMayServe = request.token().knows(database()) || request.freshness().acceptsAge();
+    return request.kind() == RequestKind.READ
+        && destination.primary()
+        && replicaMayServe
+        && !request.token().viewOf(database()).isUncertain()
+        && !refreshed;
+  }
+
   private Optional<Destination> choose() {
     if (request.kind() != RequestKind.READ) {
       return group.router().forPrimary(group.view(), request.token());
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointFaults.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointFaults.java
@@ -13,14 +13,17 @@
  * @param cutFromGroup nothing is replicated to or from it
  * @param blockedVms VMs whose requests get lost on the way
  * @param loseAnswers it runs requests and closes the connection instead of answering
+ * @param losePromotionAnswers the same for orders of a promotion
  */
 record EndpointFaults(
     boolean crashed,
     boolean frozen,
     boolean cutFromGroup,
     Set<String> blockedVms,
-    boolean loseAnswers) {
-  static final EndpointFaults NONE = new EndpointFaults(false, false, false, Set.of(), false);
+    boolean loseAnswers,
+    boolean losePromotionAnswers) {
+  static final EndpointFaults NONE =
+      new EndpointFaults(false, false, false, Set.of(), false, false);
 
   EndpointFaults {
     blockedVms = Set.copyOf(blockedVms);
@@ -35,6 +38,7 @@
         json.getBoolean("frozen", false),
         json.getBoolean("cutFromGroup", false),
         blocked,
-        json.getBoolean("loseAnswers", false));
+        json.getBoolean("loseAnswers", false),
+        json.getBoolean("losePromotionAnswers", false));
   }
 }
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointServer.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointServer.java
@@ -102,8 +102,14 @@
       case "/status" -> answer(request, new JsonObject().put("status", endpoint.status()));
       case "/fence" ->
           answer(request, endpoint.fence(json.getLong("term"), json.getString("orderer")));
-      case "/promote" ->
-          answer(request, endpoint.promote(json.getLong("term"), json.getString("orderer")));
+      case "/promote" -> {
+        JsonObject verdict = endpoint.promote(json.getLong("term"), json.getString("orderer"));
+        if (endpoint.faults().losePromotionAnswers()) {
+          request.connection().close();
+        } else {
+          answer(request, verdict);
+        }
+      }
       case "/call" -> call(request, json);
       default -> request.response().setStatusCode(404).end();
     }
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetVm.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetVm.java
@@ -9,7 +9,7 @@
  * @param dataCentre where it runs
  * @param callers the address for callers
  * @param admin the address for health, metrics and status
- * @param peers the address for peers
+ * @param listedPeers the address at which peers reach it
  * @param process its process
  */
 public record FleetVm(
@@ -17,13 +17,13 @@
     String dataCentre,
     String callers,
     String admin,
-    String peers,
+    String listedPeers,
     FleetProcess process) {
 
   JsonObject listed() {
     return new JsonObject()
         .put("name", name)
         .put("dataCentre", dataCentre)
-        .put("peerAddress", peers);
+        .put("peerAddress", listedPeers);
   }
 }
--- a/standin/src/main/java/org/toucanmast/standin/load/HistoryEntry.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/HistoryEntry.java
@@ -17,6 +17,7 @@
  * @param outcome ran, not-run or unknown
  * @param code why it was refused, or an empty text
  * @param replica whether a replica answered
+ * @param tokened whether the request carried a session token
  * @param row the first row of the answer
  * @param vm the VM it was sent to
  */
@@ -33,6 +34,7 @@
     String outcome,
     String code,
     boolean replica,
+    boolean tokened,
     String row,
     String vm) {
 
--- a/standin/src/main/java/org/toucanmast/standin/load/LoadReport.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/LoadReport.java
@@ -77,7 +77,7 @@
     return violations;
   }
 
-  /** Returns the share of session reads that replicas served. */
+  /** Returns the share of reads with a session token that replicas served. */
   public double replicaShare() {
     return replicaShare;
   }
