--- a/integration-tests/src/test/java/org/toucanmast/integration/Links.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/Links.java
@@ -13,7 +13,9 @@
 /** Fault-injecting proxies on the links of a fleet: to endpoints, to the platform, to peers. */
 final class Links implements Fleet.Detour, AutoCloseable {
   private static final int FIRST_PORT = 14_000;
-  private static int nextPort = FIRST_PORT;
+  private static final int PORTS_PER_PROCESS = 190;
+  private static int nextPort =
+      FIRST_PORT + (int) (ProcessHandle.current().pid() % 20) * PORTS_PER_PROCESS;
 
   private final NioReactor reactor;
   private final Map<String, TcpCrusher> crushers = new LinkedHashMap<>();
--- /dev/null
+++ b/integration-tests/src/test/java/org/toucanmast/integration/TransactionTest.java
@@ -0,0 +1,122 @@
+package org.toucanmast.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.toucanmast.integration.Caller.Answer;
+import org.toucanmast.standin.fleet.Deployment;
+import org.toucanmast.standin.fleet.Fleet;
+import org.toucanmast.standin.fleet.FleetPlan;
+
+@ExtendWith(SharedFleet.class)
+class TransactionTest {
+
+  private static String begin(Caller caller) {
+    Answer begun = caller.begin("stock");
+    assertThat(begun.outcome()).isEqualTo("ran");
+    return begun.body().getString("transaction");
+  }
+
+  @Test
+  void should_commit_all_statements_and_show_them_only_then() {
+    Caller caller = Caller.of(SharedFleet.vm(1), "bench-1");
+    String transaction = begin(caller);
+
+    caller.step(transaction, "statements", "put both-a 1");
+    caller.step(transaction, "statements", "put both-b 2", "get both-a");
+    String before = caller.read("stock", "get both-a", "").row();
+    Answer committed = caller.step(transaction, "commit");
+
+    assertThat(before).isEmpty();
+    assertThat(committed.outcome()).isEqualTo("ran");
+    assertThat(caller.read("stock", "get both-b", committed.session()).row()).isEqualTo("2");
+  }
+
+  @Test
+  void should_leave_nothing_after_a_rollback() {
+    Caller caller = Caller.of(SharedFleet.vm(1), "bench-1");
+    String transaction = begin(caller);
+
+    caller.step(transaction, "statements", "put gone 1");
+    assertThat(caller.step(transaction, "rollback").outcome()).isEqualTo("ran");
+
+    assertThat(caller.read("stock", "get gone", "").row()).isEmpty();
+    assertThat(caller.step(transaction, "commit").status()).isEqualTo(404);
+  }
+
+  @Test
+  void should_reach_the_owning_vm_from_any_other() {
+    String transaction = begin(Caller.of(SharedFleet.vm(1), "bench-1"));
+
+    Answer changed =
+        Caller.of(SharedFleet.vm(2), "bench-1").step(transaction, "statements", "put roam 1");
+    Answer committed = Caller.of(SharedFleet.vm(3), "bench-1").step(transaction, "commit");
+
+    assertThat(changed.outcome()).isEqualTo("ran");
+    assertThat(committed.outcome()).isEqualTo("ran");
+    assertThat(
+            Caller.of(SharedFleet.vm(2), "bench-1")
+                .read("stock", "get roam", committed.session())
+                .row())
+        .isEqualTo("1");
+  }
+
+  @Test
+  void should_not_exist_for_another_customer() {
+    String transaction = begin(Caller.of(SharedFleet.vm(1), "bench-1"));
+
+    Answer stranger =
+        Caller.of(SharedFleet.vm(1), "bench-2").step(transaction, "statements", "put a 1");
+    Answer forwarded = Caller.of(SharedFleet.vm(2), "bench-2").step(transaction, "commit");
+
+    assertThat(stranger.status()).isEqualTo(404);
+    assertThat(forwarded.status()).isEqualTo(404);
+    assertThat(Caller.of(SharedFleet.vm(1), "bench-1").step(transaction, "rollback").outcome())
+        .isEqualTo("ran");
+  }
+
+  @Test
+  void should_never_mix_two_transactions() {
+    Caller caller = Caller.of(SharedFleet.vm(1), "bench-1");
+    String first = begin(caller);
+    String second = begin(caller);
+
+    caller.step(first, "statements", "put mixed-first 1");
+    caller.step(second, "statements", "put mixed-second 1");
+    caller.step(first, "rollback");
+    Answer committed = caller.step(second, "commit");
+
+    assertThat(caller.read("stock", "get mixed-first", committed.session()).row()).isEmpty();
+    assertThat(caller.read("stock", "get mixed-second", committed.session()).row()).isEqualTo("1");
+  }
+
+  @Test
+  void should_roll_back_when_its_vm_dies() throws IOException {
+    try (Fleet fleet = Fleet.start(FleetPlan.of(Deployment.QUICKSTART))) {
+      Caller owner = Caller.of(fleet.vms().get("vm-1").callers(), "bench-1");
+      Caller other = Caller.of(fleet.vms().get("vm-2").callers(), "bench-1");
+      String transaction = begin(owner);
+      owner.step(transaction, "statements", "put half 1");
+
+      fleet.vms().get("vm-1").process().kill();
+      Answer late = other.step(transaction, "commit");
+
+      assertThat(late.outcome()).isIn("not-run", "unknown");
+      assertThat(other.read("stock", "get half", "").row()).isEmpty();
+      Fleet.waitFor(() -> openTransactions(fleet) == 0, "the database to roll back");
+    }
+  }
+
+  private static long openTransactions(Fleet fleet) {
+    try {
+      return fleet.control().endpoints(fleet.databaseControls().get("stock")).stream()
+          .mapToLong(each -> ((JsonObject) each).getLong("openTransactions"))
+          .sum();
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+}
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
@@ -97,6 +97,7 @@
             .createHttpServer(
                 new HttpServerOptions()
                     .setMaxHeaderSize(MAXIMUM_HEADER_SIZE_IN_BYTES)
+                    .setHttp2ClearTextEnabled(false)
                     .setTcpNoDelay(true))
             .connectionHandler(limiter::onOpen)
             .requestHandler(this::handle);
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -51,9 +51,7 @@
       long leaseDuration,
       PeerTable peers,
       ConfigurationState configuration,
-      EpochGate epochs,
-      Lender lender,
-      Holder holder,
+      Shares shares,
       Map<String, DatabaseGroup> groups,
       BiPredicate<String, PeerMessage> sender) {
     this.self = self;
@@ -61,9 +59,9 @@
     this.leaseDuration = leaseDuration;
     this.peers = peers;
     this.configuration = configuration;
-    this.epochs = epochs;
-    this.lender = lender;
-    this.holder = holder;
+    this.epochs = shares.epochs();
+    this.lender = shares.lender();
+    this.holder = shares.holder();
     this.groups = groups;
     this.sender = sender;
   }
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/Shares.java
@@ -0,0 +1,14 @@
+package org.toucanmast.runtime.membership;
+
+import org.toucanmast.core.allowance.Holder;
+import org.toucanmast.core.allowance.Lender;
+import org.toucanmast.core.membership.EpochGate;
+
+/**
+ * This VM's part in the sharing of allowances.
+ *
+ * @param epochs which members share, as far as this VM may act on it
+ * @param lender to whom this VM lends its own shares
+ * @param holder the buckets of shares that are lent to this VM
+ */
+public record Shares(EpochGate epochs, Lender lender, Holder holder) {}
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -29,6 +29,7 @@
 import org.toucanmast.runtime.group.DatabaseGroup;
 import org.toucanmast.runtime.membership.HeartbeatDuty;
 import org.toucanmast.runtime.membership.PeerTable;
+import org.toucanmast.runtime.membership.Shares;
 import org.toucanmast.runtime.metrics.RequestMetrics;
 import org.toucanmast.runtime.peer.PeerEvents;
 import org.toucanmast.runtime.peer.PeerException;
@@ -118,9 +119,7 @@
             settings.getPeers().getLeaseDuration(),
             peers,
             configuration,
-            epochs,
-            lender,
-            holder,
+            new Shares(epochs, lender, holder),
             groups,
             this::sendToPeer);
     createRequestPath();
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Ports.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Ports.java
@@ -9,12 +9,17 @@
 
 /**
  * Gives out ports on the loopback address, each one once, below the range from which systems take
- * the ports of outgoing connections.
+ * the ports of outgoing connections. Processes begin at different ports, so that two fleets started
+ * at the same time do not meet.
  */
 final class Ports {
   private static final int FIRST = 18_000;
   private static final int LAST = 32_000;
-  private static final AtomicInteger NEXT = new AtomicInteger(FIRST);
+  private static final int PROCESS_SLOTS = 20;
+  private static final int PORTS_PER_SLOT = (LAST - FIRST) / PROCESS_SLOTS;
+  private static final AtomicInteger NEXT =
+      new AtomicInteger(
+          FIRST + (int) (ProcessHandle.current().pid() % PROCESS_SLOTS) * PORTS_PER_SLOT);
 
   private Ports() {}
 
