A customer's bucket has filled since its shares were lent, not since its first request

Ruled out: the start of the fleet itself (VMs own shares before load begins). Change: a new bucket counts from the last change of the leases, since when its shares were lent here; a bucket that was removed starts at the removal. Checked by SharedAllowanceModelTest (60 tries) and HolderTest.

--- a/core/src/main/java/org/toucanmast/core/allowance/Holder.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/Holder.java
@@ -32,6 +32,7 @@
   private final Map<String, Lease> leases = new HashMap<>();
   private final Map<String, Held> buckets = new HashMap<>();
   private final Map<String, Double> fractions = new HashMap<>();
+  private long unchangedSince;
 
   /**
    * Creates a holder to which nothing is lent.
@@ -79,9 +80,11 @@
   }
 
   /** Drops the buckets of customers that no longer exist. */
-  public void retain(Predicate<String> exists) {
-    buckets.keySet().removeIf(exists.negate());
+  public void retain(Predicate<String> exists, long now) {
     fractions.keySet().removeIf(exists.negate());
+    if (buckets.keySet().removeIf(exists.negate())) {
+      unchangedSince = now;
+    }
   }
 
   /** Lets leases run out; after a pause this comes before anything is given out. */
@@ -113,6 +116,7 @@
 
   /** Brings every bucket to the shares that are lent now; tokens are only ever lost by this. */
   private void cut(long now) {
+    unchangedSince = now;
     fractions.clear();
     buckets
         .entrySet()
@@ -127,11 +131,12 @@
             });
   }
 
+  /** A new bucket has filled since the leases last changed: its shares were lent here all along. */
   private TokenBucket bucketOf(String customer, Allowance whole, double fraction, long now) {
     Held held = buckets.get(customer);
     if (held == null) {
       Allowance part = keepBack(whole).times(fraction);
-      held = new Held(whole, new TokenBucket(part, 0, now));
+      held = new Held(whole, new TokenBucket(part, 0, unchangedSince));
       buckets.put(customer, held);
     } else if (!held.whole().equals(whole)) {
       held = new Held(whole, held.bucket());
--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -76,7 +76,7 @@
   /** Takes in a revision of the configuration. */
   public void update(FleetConfiguration configuration) {
     allowances = configuration.allowances();
-    holder.retain(allowances::containsKey);
+    holder.retain(allowances::containsKey, clock.getAsLong());
   }
 
   /** Returns how many asks were sent. */
