A call to an endpoint always ends, so that connections are never lost count of

Cause: when an endpoint stopped answering one VM, some calls' futures never completed (the client drops them when a connection closes before the request got its stream). The pool went on counting those connections as open; after 7 of them the VM refused every request for that endpoint as unavailable, also after the link had healed. Seen: scenario 'one VM's bad link orders no promotion': 45 final reads refused as unavailable, scenario stuck for minutes; no EndpointConnection object left on the heap, no TCP connection, and yet nothing opened. Ruled out: double release (would make the count fall), the fair queue (empty). Change: each call and each connect ends by a timer of its own; a connection that opens after that is closed. /status shows each pool.

--- a/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
@@ -278,6 +278,16 @@
     assertThat(callsIn(dataCentre)).isEqualTo(callsBefore);
   }
 
+  @Then("VM {word} gets no callers")
+  public void notReady(String vm) {
+    assertThat(fleet.control().isReady(fleet.vms().get(vm).admin())).isFalse();
+  }
+
+  @Then("VM {word} gets callers")
+  public void ready(String vm) throws IOException {
+    Fleet.waitFor(() -> fleet.control().isReady(fleet.vms().get(vm).admin()), vm + " to be ready");
+  }
+
   @Then("further calls reached data centre {word}")
   public void furtherCalls(String dataCentre) throws IOException {
     assertThat(callsIn(dataCentre)).isGreaterThan(callsBefore);
--- a/integration-tests/src/test/resources/features/operations.feature
+++ b/integration-tests/src/test/resources/features/operations.feature
@@ -20,9 +20,11 @@
     And endpoint calls in data centre medellin are counted after 3000 ms
     And 2500 ms pass
     Then no further call reached data centre medellin
+    And VM vm-1 gets no callers
     When an operator runs: data-centre bring-back medellin
     And 2500 ms pass
     Then further calls reached data centre medellin
+    And VM vm-1 gets callers
     And the load ends
     And no promise is broken
     And the primary of stock has changed
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucanmast.runtime.endpoint.EndpointException.Kind;
 
@@ -20,6 +21,7 @@
 
   private static final AtomicLong CALL_IDS = new AtomicLong();
   private static final int OK = 200;
+  private static final long GRACE_IN_MILLISECONDS = 50;
 
   private final String endpoint;
   private final String vm;
@@ -64,7 +66,8 @@
    * Makes one call.
    *
    * @param timeoutInMilliseconds after which the connection is closed
-   * @return the answer; fails with {@link EndpointException}
+   * @return the answer; fails with {@link EndpointException}, a moment after the timeout at the
+   *     latest
    */
   public Future<EndpointReply> call(EndpointCall call, long timeoutInMilliseconds) {
     long callId = CALL_IDS.incrementAndGet();
@@ -78,6 +81,12 @@
         .request(options)
         .recover(cause -> fail(Kind.NOT_SENT, cause))
         .compose(request -> send(request, call, callId))
+        .timeout(Math.max(1, timeoutInMilliseconds) + GRACE_IN_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .recover(
+            cause ->
+                cause instanceof EndpointException
+                    ? Future.failedFuture(cause)
+                    : fail(Kind.NO_ANSWER, cause))
         .onFailure(cause -> close());
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpConnectOptions;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.toucanmast.core.fairness.FairQueue;
 import org.toucanmast.core.request.Refusal;
@@ -147,14 +148,27 @@
   }
 
   private void connect() {
-    client
-        .connect(
+    Future<HttpClientConnection> connecting =
+        client.connect(
             new HttpConnectOptions()
                 .setHost(address.getHost())
                 .setPort(address.getPort())
-                .setConnectTimeout(CONNECT_TIMEOUT_IN_MILLISECONDS))
+                .setConnectTimeout(CONNECT_TIMEOUT_IN_MILLISECONDS));
+    connecting
+        .timeout(2 * CONNECT_TIMEOUT_IN_MILLISECONDS, TimeUnit.MILLISECONDS)
         .onSuccess(this::onConnected)
-        .onFailure(this::onConnectFailed);
+        .onFailure(
+            cause -> {
+              connecting.onSuccess(HttpClientConnection::close);
+              onConnectFailed(cause);
+            });
+  }
+
+  /** Describes the pool, for operators. */
+  public String describe() {
+    return String.format(
+        "limit %d, open %d, idle %d, opening %d, waiting %d",
+        limit, open, idle.size(), opening, waiting.size());
   }
 
   private void onConnected(HttpClientConnection connection) {
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -66,9 +66,9 @@
     this.sender = sender;
   }
 
-  /** Tells peers from now on that this VM is leaving. */
-  public void leave() {
-    leaving = true;
+  /** Sets whether peers are told that this VM takes no new work and should hold nothing. */
+  public void setLeaving(boolean isLeaving) {
+    leaving = isLeaving;
   }
 
   /** Sends a heartbeat to every known peer. */
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
@@ -99,6 +99,11 @@
     return keyTrust.trusts(configuration.age(now), heard, members.size());
   }
 
+  /** Tells whether operators have taken this VM's data centre out. */
+  boolean isTakenOut() {
+    return configuration.current().closedDataCentres().contains(settings.getVm().getDataCentre());
+  }
+
   /** Returns the addresses of the peer listeners that the platform lists. */
   Set<String> peerAddresses() {
     Set<String> addresses = new HashSet<>();
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -235,8 +235,10 @@
     long now = clock.getAsLong();
     network.dial(fleet.peerAddresses());
     fleet.tick(now);
+    boolean out = fleet.isTakenOut();
+    heartbeats.setLeaving(stopping || out);
     heartbeats.beat(now);
-    accepting = configuration.isReady();
+    accepting = configuration.isReady() && !out;
   }
 
   private void tick() {
@@ -315,7 +317,7 @@
     stopping = true;
     context.runOnContext(
         nothing -> {
-          heartbeats.leave();
+          heartbeats.setLeaving(true);
           heartbeats.beat(clock.getAsLong());
         });
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/StatusReport.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/StatusReport.java
@@ -8,6 +8,7 @@
 import org.toucanmast.core.group.EndpointStatus;
 import org.toucanmast.core.membership.EpochGate;
 import org.toucanmast.runtime.endpoint.EndpointJson;
+import org.toucanmast.runtime.endpoint.EndpointPool;
 import org.toucanmast.runtime.group.DatabaseGroup;
 import org.toucanmast.runtime.membership.PeerTable;
 
@@ -48,7 +49,12 @@
   private static JsonObject describe(DatabaseGroup group, long now) {
     JsonObject endpoints = new JsonObject();
     for (EndpointStatus status : group.view().statuses()) {
-      endpoints.put(status.endpoint(), EndpointJson.ofStatus(status));
+      endpoints.put(
+          status.endpoint(),
+          EndpointJson.ofStatus(status)
+              .put(
+                  "connections",
+                  group.pool(status.endpoint()).map(EndpointPool::describe).orElse("")));
     }
     return new JsonObject()
         .put("primary", group.view().primary().orElse(""))
--- a/standin/src/main/java/org/toucanmast/standin/ToolMain.java
+++ b/standin/src/main/java/org/toucanmast/standin/ToolMain.java
@@ -1,6 +1,7 @@
 package org.toucanmast.standin;
 
 import org.toucanmast.cli.Main;
+import org.toucanmast.standin.measure.MeasureCommand;
 import picocli.CommandLine.Command;
 
 /** The entry point of stand-ins and tools. */
@@ -14,6 +15,7 @@
       DatabaseStandinCommand.class,
       LoadCommand.class,
       CheckHistoryCommand.class,
+      MeasureCommand.class,
       QuickstartCommand.class
     })
 public final class ToolMain {
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetPlan.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetPlan.java
@@ -26,7 +26,7 @@
     EndpointSettings endpoints,
     Map<String, String> settings) {
   private static final int DEFAULT_VMS = 3;
-  private static final Duration DEFAULT_LIST_LAG = Duration.ofSeconds(2);
+  private static final Duration DEFAULT_LIST_LAG = Duration.ofMillis(500);
 
   /** Keeps a copy of the settings. */
   public FleetPlan {
@@ -41,7 +41,7 @@
         DEFAULT_VMS,
         DEFAULT_LIST_LAG,
         deployment.endpoints(),
-        Map.of());
+        Map.of("platform.list-interval", "500ms"));
   }
 
   /** Returns the plan with another number of VMs. */
--- /dev/null
+++ b/standin/src/main/java/org/toucanmast/standin/measure/LatencyMeasurement.java
@@ -0,0 +1,157 @@
+package org.toucanmast.standin.measure;
+
+import com.google.common.net.HostAndPort;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+import org.toucanmast.standin.database.EndpointSettings;
+import org.toucanmast.standin.fleet.Deployment;
+import org.toucanmast.standin.fleet.Fleet;
+import org.toucanmast.standin.fleet.FleetPlan;
+import org.toucanmast.standin.fleet.FleetVm;
+import org.toucanmast.standin.load.LoadClient;
+
+/** Measures what one VM adds to a call of an endpoint, and how many requests it passes. */
+final class LatencyMeasurement {
+  private static final String CUSTOMER = "bench-1";
+  private static final String DATABASE = "stock";
+  private static final int CONNECTIONS = 64;
+  private static final EndpointSettings FAST_ENDPOINTS =
+      new EndpointSettings(CONNECTIONS, 4 * CONNECTIONS, 0, 0, 0);
+
+  private final long seconds;
+  private final Vertx vertx = Vertx.vertx();
+
+  LatencyMeasurement(long seconds) {
+    this.seconds = seconds;
+  }
+
+  /**
+   * Returns rows of: what, lanes, requests a second, p50, p99, failures, VM's processor, memory.
+   */
+  List<List<String>> run() throws IOException {
+    List<List<String>> rows = new ArrayList<>();
+    String configuration =
+        Deployment.LENTES
+            .template()
+            .replace("connections = 20", "connections = " + 4 * CONNECTIONS)
+            .replace("slots = 3", "slots = " + CONNECTIONS)
+            .replace("rate = 80/s", "rate = 1000000/s")
+            .replace("burst = 40", "burst = 1000000");
+    FleetPlan plan =
+        FleetPlan.of(Deployment.LENTES)
+            .withVms(1)
+            .withEndpoints(FAST_ENDPOINTS)
+            .withConfiguration(configuration);
+    try (Fleet fleet = Fleet.start(plan)) {
+      FleetVm vm = fleet.vms().get("vm-1");
+      rows.add(atRest(vm));
+      warmUp(fleet, vm);
+      for (int lanes : new int[] {1, 8, 32}) {
+        rows.add(row("direct read", lanes, fleet, vm, direct(fleet)));
+        rows.add(row("read at a replica", lanes, fleet, vm, read(vm)));
+        rows.add(row("write, by position", lanes, fleet, vm, write(vm)));
+      }
+      return rows;
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+  }
+
+  /** One kind of exchange. */
+  private interface Exchange {
+    Future<Boolean> start(int lane);
+  }
+
+  private void warmUp(Fleet fleet, FleetVm vm) {
+    ClosedLoop.run(vertx, 16, seconds, read(vm)::start);
+    ClosedLoop.run(vertx, 16, seconds, write(vm)::start);
+    ClosedLoop.run(vertx, 16, seconds, direct(fleet)::start);
+  }
+
+  private static List<String> atRest(FleetVm vm) throws IOException {
+    ProcessUsage usage = ProcessUsage.of(vm.process().pid());
+    return List.of("at rest", "0", "0", "0", "0", "0", "0", decimal(usage.residentMebibytes()));
+  }
+
+  private List<String> row(String what, int lanes, Fleet fleet, FleetVm vm, Exchange exchange)
+      throws IOException {
+    ProcessUsage before = ProcessUsage.of(vm.process().pid());
+    ClosedLoop.Result result = ClosedLoop.run(vertx, lanes, seconds, exchange::start);
+    ProcessUsage after = ProcessUsage.of(vm.process().pid());
+    Histogram latency = result.latencyInMicroseconds();
+    return List.of(
+        what,
+        Integer.toString(lanes),
+        decimal(result.perSecond()),
+        Long.toString(latency.getValueAtPercentile(50)),
+        Long.toString(latency.getValueAtPercentile(99)),
+        Long.toString(result.failures()),
+        decimal(100 * (after.cpuSeconds() - before.cpuSeconds()) / seconds),
+        decimal(after.residentMebibytes()));
+  }
+
+  private Exchange direct(Fleet fleet) {
+    HostAndPort address = HostAndPort.fromString(fleet.endpointAddresses().get("stock-2"));
+    HttpClientAgent client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+    JsonObject call =
+        new JsonObject()
+            .put("callId", 1)
+            .put("operation", "run")
+            .put("requestId", "direct")
+            .put("kind", "read")
+            .put("term", 1)
+            .put("primary", false)
+            .put("statements", new JsonArray().add("get pair"));
+    return lane ->
+        client
+            .request(HttpMethod.POST, address.getPort(), address.getHost(), "/call")
+            .compose(request -> request.send(call.toBuffer()))
+            .compose(response -> response.body())
+            .map(body -> body.toJsonObject().getString("result").equals("ran"));
+  }
+
+  private Exchange read(FleetVm vm) {
+    LoadClient client = new LoadClient(vertx);
+    String[] token = {""};
+    JsonObject body =
+        new JsonObject().put("kind", "read").put("statements", new JsonArray().add("get pair"));
+    return lane ->
+        send(client, vm, token[0], body)
+            .map(
+                answer -> {
+                  if (answer.token() != null) {
+                    token[0] = answer.token();
+                  }
+                  return answer.outcome().equals("ran");
+                });
+  }
+
+  private Exchange write(FleetVm vm) {
+    LoadClient client = new LoadClient(vertx);
+    JsonObject body =
+        new JsonObject()
+            .put("kind", "write")
+            .put("statements", new JsonArray().add("put pair sorted"));
+    return lane -> send(client, vm, "", body).map(answer -> answer.outcome().equals("ran"));
+  }
+
+  private static Future<LoadClient.Answer> send(
+      LoadClient client, FleetVm vm, String token, JsonObject body) {
+    String path = "/v1/databases/" + DATABASE + "/requests";
+    return client.send(vm.callers(), path, Fleet.keyOf(CUSTOMER), token, "", body);
+  }
+
+  private static String decimal(double value) {
+    return String.format(Locale.ROOT, "%.1f", value);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/toucanmast/standin/measure/MeasureCommand.java
@@ -0,0 +1,166 @@
+package org.toucanmast.standin.measure;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.toucanmast.cli.ExitCodes;
+import org.toucanmast.cli.OutputFormat;
+import org.toucanmast.core.configuration.Allowance;
+import org.toucanmast.core.text.InvalidTextException;
+import org.toucanmast.standin.fleet.Deployment;
+import org.toucanmast.standin.fleet.Fleet;
+import org.toucanmast.standin.fleet.FleetPlan;
+import org.toucanmast.standin.fleet.SampleLoad;
+import org.toucanmast.standin.load.HistoryChecker;
+import org.toucanmast.standin.load.HistoryEntry;
+import org.toucanmast.standin.load.LoadReport;
+import org.toucanmast.standin.load.LoadRunner;
+import org.toucanmast.standin.load.LoadScenario;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures whole fleets on this machine and prints figures; asserts nothing. */
+@Command(
+    name = "measure",
+    mixinStandardHelpOptions = true,
+    description = "Measure a fleet of real processes on this machine.")
+public final class MeasureCommand {
+  @Spec private CommandSpec spec;
+
+  @Command(
+      name = "latency",
+      mixinStandardHelpOptions = true,
+      description = "Latency and throughput of one VM beside direct calls.")
+  int latency(@Option(names = "--seconds", defaultValue = "5") long seconds) throws IOException {
+    print(
+        List.of("what", "lanes", "perSecond", "p50us", "p99us", "failed", "cpu%", "MiB"),
+        new LatencyMeasurement(seconds).run());
+    return ExitCodes.OK;
+  }
+
+  @Command(
+      name = "failover",
+      mixinStandardHelpOptions = true,
+      description = "The gap of writes over many failures of a primary.")
+  int failover(
+      @Option(names = "--deployment", defaultValue = "lentes") Deployment deployment,
+      @Option(names = "--count", defaultValue = "20") int count,
+      @Option(names = "--acknowledge", defaultValue = "position") String rule)
+      throws IOException {
+    print(
+        List.of("fault", "count", "p50ms", "maxms", "acknowledgedLost"),
+        new FailoverMeasurement(deployment, count, rule).run());
+    return ExitCodes.OK;
+  }
+
+  @Command(
+      name = "slopes",
+      mixinStandardHelpOptions = true,
+      description = "What control costs a VM at rest as the fleet and its customers grow.")
+  int slopes(
+      @Option(names = "--fleet", split = ",", defaultValue = "2,4,8,16") List<Integer> fleets,
+      @Option(names = "--extra-customers", split = ",", defaultValue = "0") List<Integer> extra,
+      @Option(names = "--seconds", defaultValue = "10") long seconds)
+      throws IOException {
+    List<List<String>> rows = new ArrayList<>();
+    for (int vms : fleets) {
+      for (int customers : extra) {
+        rows.add(new SlopeMeasurement(seconds).run(vms, customers));
+      }
+    }
+    print(
+        List.of("VMs", "customers", "cpu%", "MiB", "peerB/s", "peerMsg/s", "platform/s", "editms"),
+        rows);
+    return ExitCodes.OK;
+  }
+
+  @Command(
+      name = "allowances",
+      mixinStandardHelpOptions = true,
+      description = "Wrongful refusals against other ways, on the same recorded arrivals.")
+  int allowances(
+      @Option(names = "--entry-vms", defaultValue = "8") int vms,
+      @Option(names = "--seconds", defaultValue = "60") int seconds,
+      @Option(names = "--percent", defaultValue = "70") int percent,
+      @Option(names = "--spread", defaultValue = "all") String spread,
+      @Option(names = "--kill-after", defaultValue = "0", description = "Seconds; 0 kills none.")
+          int killAfter)
+      throws IOException, InvalidTextException {
+    FleetPlan plan = FleetPlan.of(Deployment.LENTES).withVms(vms);
+    try (Fleet fleet = Fleet.start(plan)) {
+      LoadScenario scenario = scenario(fleet, plan, percent, seconds, spread);
+      List<HistoryEntry> history = run(fleet, scenario, killAfter, vms);
+      Map<String, Allowance> allowances = new HashMap<>();
+      scenario
+          .customers()
+          .forEach(
+              (name, each) -> allowances.put(name, new Allowance(each.getRate(), each.getBurst())));
+      spec.commandLine()
+          .getOut()
+          .print(
+              LoadReport.of(
+                      history, scenario.customers(), HistoryChecker.check(history, allowances))
+                  .toTable());
+      AllowanceComparison.Counts counts = AllowanceComparison.of(history, allowances, vms);
+      print(
+          List.of("arrivals", "chosenWay", "fixedShares", "borrowingAtNoCost"),
+          List.of(
+              List.of(
+                  Long.toString(counts.arrivals()),
+                  Long.toString(counts.chosen()),
+                  Long.toString(counts.fixedShares()),
+                  Long.toString(counts.borrowing()))));
+      return ExitCodes.OK;
+    }
+  }
+
+  private static LoadScenario scenario(
+      Fleet fleet, FleetPlan plan, int percent, int seconds, String spread)
+      throws InvalidTextException {
+    Map<String, Map<String, String>> overrides = new HashMap<>();
+    for (String customer :
+        List.of(
+            "bench-1",
+            "bench-2",
+            "bench-3",
+            "bench-4",
+            "clinic-norte",
+            "clinic-sur",
+            "clinic-centro",
+            "desk")) {
+      overrides.put(customer, Map.of("spread", spread));
+    }
+    return SampleLoad.of(
+        fleet.fill(plan.configuration()), percent / 100.0, seconds + "s", 1, overrides);
+  }
+
+  /** Kills the last VM, to which no caller is sent; it holds its part of the allowances. */
+  private static List<HistoryEntry> run(
+      Fleet fleet, LoadScenario scenario, int killAfter, int vms) {
+    Vertx vertx = Vertx.vertx();
+    List<String> addresses = new ArrayList<>(fleet.callerAddresses());
+    if (killAfter > 0) {
+      addresses.remove(fleet.vms().get("vm-" + vms).callers());
+      vertx.setTimer(killAfter * 1_000L, timer -> fleet.vms().get("vm-" + vms).process().kill());
+    }
+    try {
+      return new LoadRunner(vertx, scenario, addresses)
+          .run()
+          .toCompletionStage()
+          .toCompletableFuture()
+          .join();
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+  }
+
+  private void print(List<String> columns, List<List<String>> rows) {
+    spec.commandLine().getOut().print(OutputFormat.TABLE.render(columns, rows));
+    spec.commandLine().getOut().flush();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/toucanmast/standin/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of whole fleets: latency, throughput, failover and slopes of growth. */
+package org.toucanmast.standin.measure;
