Control costs less at rest: smaller heartbeats, rounds of the primary only, fewer ticks

Heartbeats of 100 ms carried members, skipped and every primary; each observer asked all three endpoints ten times a second; a tick ran every 5 ms; the young generation of the heap took 39 MB. Ruled out: Java code as the main cost of the processor (14 samples of 700 in a 14 s profile); most of it is system calls of timers and sockets. Also: measurements of neighbours and of a data centre that leaves; the failover measurement no longer counts writes that an earlier failure left waiting.

--- a/core/src/main/java/org/toucanmast/core/allowance/Lender.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/Lender.java
@@ -20,6 +20,7 @@
   private LendingView active = LendingView.NONE;
   private LendingView wanted = LendingView.NONE;
   private long version;
+  private long viewNumber;
 
   /**
    * Creates a lender that lends nothing.
@@ -36,6 +37,11 @@
     return active;
   }
 
+  /** Returns a number that rises with each change of the view in force. */
+  public long viewNumber() {
+    return viewNumber;
+  }
+
   /** Returns the number of the newest change, which holders acknowledge. */
   public long version() {
     return version;
@@ -82,8 +88,9 @@
   /** Brings the wanted view into force when every old holder has let go. */
   public void step(long now) {
     withdrawing.removeIf(peer -> hasLetGo(peer, now));
-    if (withdrawing.isEmpty()) {
+    if (withdrawing.isEmpty() && !active.equals(wanted)) {
       active = wanted;
+      viewNumber++;
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -11,6 +11,7 @@
 import org.toucanmast.core.configuration.EndpointDescription;
 import org.toucanmast.core.configuration.FleetConfiguration;
 import org.toucanmast.core.group.GroupView;
+import org.toucanmast.core.group.ObservationRound;
 import org.toucanmast.core.promotion.Observers;
 import org.toucanmast.core.request.RetryBudget;
 import org.toucanmast.core.routing.Router;
@@ -22,6 +23,7 @@
 public final class DatabaseGroup {
   private static final double RETRY_FRACTION = 0.2;
   private static final double RETRY_CAPACITY = 20;
+  private static final long WHOLE_INTERVAL_IN_NANOSECONDS = 1_000_000_000L;
   private static final long USED_LATELY_IN_NANOSECONDS = 5_000_000_000L;
 
   private final DatabaseSettings settings;
@@ -42,6 +44,8 @@
   private long usedAt;
   private boolean used;
   private long observedAt;
+  private long wholeObservedAt;
+  private boolean primaryAnswers;
 
   /**
    * Creates the group.
@@ -69,7 +73,7 @@
     long timeout = settings.getSuspicionTimeout();
     this.observer = new GroupObserver(vertx, control, database, view, timeout, clock);
     this.promotion = new PromotionDuty(vertx, control, view, self, timeout, changed);
-    observer.onFinished(promotion::onRound);
+    observer.onFinished(this::onRound);
   }
 
   /**
@@ -113,6 +117,11 @@
                 name, self, endpoint.address(), client, (int) settings.getMaximumWaiting(), clock));
   }
 
+  private void onRound(ObservationRound round, long now) {
+    primaryAnswers = round.primary().filter(found -> found.term() >= view.term()).isPresent();
+    promotion.onRound(round, now);
+  }
+
   /** Returns the group's description. */
   public Database database() {
     return database;
@@ -200,13 +209,24 @@
     boolean due = now - observedAt >= settings.getObservationInterval();
     if ((observes || usedLately) && due) {
       observedAt = now;
-      observer.observe();
+      observe(usedLately, now);
     }
     observer.tick(now);
     pools.values().forEach(pool -> pool.tick(now, settings.getConnectionIdleTimeout()));
     promotion.tick(configuration, database, observers, now);
   }
 
+  /** At rest only the primary is asked each time, and the whole group now and then. */
+  private void observe(boolean usedLately, long now) {
+    boolean atRest = !usedLately && primaryAnswers && view.primary().isPresent();
+    if (atRest && now - wholeObservedAt < WHOLE_INTERVAL_IN_NANOSECONDS) {
+      observer.observeOnly(view.primary().orElseThrow());
+    } else {
+      wholeObservedAt = now;
+      observer.observe();
+    }
+  }
+
   /** Ends all use of the group. */
   public void close() {
     pools.values().forEach(EndpointPool::close);
--- a/runtime/src/main/java/org/toucanmast/runtime/group/GroupObserver.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/GroupObserver.java
@@ -103,13 +103,24 @@
 
   /** Starts a round now. */
   public void observe() {
-    long now = clock.getAsLong();
-    startedAt = now;
-    rounds++;
-    ObservationRound round = new ObservationRound(now, database.majority());
-    Tracker tracker = new Tracker(round, List.copyOf(refreshing));
+    List<Promise<Void>> refreshed = List.copyOf(refreshing);
     refreshing.clear();
-    for (EndpointDescription endpoint : database.endpoints()) {
+    startRound(database.endpoints(), refreshed);
+  }
+
+  /** Starts a round of one endpoint only, which costs less while nobody uses the group. */
+  public void observeOnly(String endpoint) {
+    List<EndpointDescription> targets =
+        database.endpoints().stream().filter(each -> each.name().equals(endpoint)).toList();
+    startRound(targets, List.of());
+  }
+
+  private void startRound(List<EndpointDescription> targets, List<Promise<Void>> refreshed) {
+    startedAt = clock.getAsLong();
+    rounds++;
+    ObservationRound round = new ObservationRound(startedAt, database.majority());
+    Tracker tracker = new Tracker(round, refreshed);
+    for (EndpointDescription endpoint : targets) {
       if (outstanding.add(endpoint.name())) {
         tracker.expected++;
         control
@@ -120,7 +131,7 @@
       }
     }
     if (tracker.expected == 0) {
-      tracker.refreshed.forEach(Promise::tryComplete);
+      refreshed.forEach(Promise::tryComplete);
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -35,6 +35,7 @@
   private final Holder holder;
   private final Map<String, DatabaseGroup> groups;
   private final BiPredicate<String, PeerMessage> sender;
+  private final PrimaryDigests digests = new PrimaryDigests();
   private boolean leaving;
 
   /**
@@ -107,16 +108,20 @@
       lender.onAcknowledged(name, lending.getAcknowledgedVersion());
     }
     epochs.onPeerAdopted(name, lending.getEpoch());
-    takeLease(name, heartbeat, now);
+    takeLease(peer, heartbeat, now);
     takeJudgements(name, heartbeat, now);
     lender.step(now);
     return true;
   }
 
-  private void takeLease(String peer, PeerHeartbeat heartbeat, long now) {
+  private void takeLease(PeerState peer, PeerHeartbeat heartbeat, long now) {
+    String name = peer.identity().name();
     Lending lending = heartbeat.getLending();
-    if (!lending.getActive() || lending.getShareDenominator() <= 0) {
-      holder.onWithdrawn(peer, now);
+    if (lending.getMembersCount() > 0) {
+      peer.keepView(lending.getViewNumber(), viewOf(lending));
+    }
+    if (!lending.getActive()) {
+      holder.onWithdrawn(name, now);
       return;
     }
     long echoed = heartbeat.getEchoed();
@@ -124,14 +129,17 @@
     if (!knowsThisRun || echoed == 0 || echoed - now > 0) {
       return;
     }
-    LendingView view =
-        new LendingView(
-            new Epoch(lending.getEpoch(), new TreeSet<>(lending.getMembersList())),
-            new TreeSet<>(lending.getSkippedList()));
-    holder.onLease(
-        peer,
-        new Holder.Lease(echoed + leaseDuration, 1.0 / lending.getShareDenominator(), view),
-        now);
+    peer.view(lending.getViewNumber())
+        .ifPresent(
+            view ->
+                holder.onLease(
+                    name, new Holder.Lease(echoed + leaseDuration, view.fraction(), view), now));
+  }
+
+  private static LendingView viewOf(Lending lending) {
+    return new LendingView(
+        new Epoch(lending.getEpoch(), new TreeSet<>(lending.getMembersList())),
+        new TreeSet<>(lending.getSkippedList()));
   }
 
   private void takeJudgements(String peer, PeerHeartbeat heartbeat, long now) {
@@ -196,36 +204,24 @@
                   term ->
                       heartbeat.addSuspicions(
                           Suspicion.newBuilder().setDatabase(name).setTerm(term)));
-          group
-              .view()
-              .primary()
-              .ifPresent(
-                  primary ->
-                      heartbeat.addPrimaries(
-                          PrimaryDigest.newBuilder()
-                              .setDatabase(name)
-                              .setEndpoint(primary)
-                              .setTerm(group.view().term())));
         });
+    digests.next(groups, now).forEach(heartbeat::addPrimaries);
     return heartbeat.build();
   }
 
   private PeerMessage messageTo(PeerState peer, PeerHeartbeat common) {
     String name = peer.identity().name();
-    LendingView view = lender.active();
     boolean lends = owns(common.getSentAt()) && lender.lendsTo(name);
     Lending.Builder lending =
         Lending.newBuilder()
-            .setEpoch(view.epoch().number())
+            .setEpoch(lender.active().epoch().number())
             .setVersion(lender.version())
             .setAcknowledgedVersion(peer.newest().getLending().getVersion())
+            .setAcknowledgedView(peer.viewNumber())
             .setActive(lends);
     long echoed = peer.newest().getSentAt();
     if (lends) {
-      lending
-          .setShareDenominator(view.epoch().members().size())
-          .addAllSkipped(view.skipped())
-          .addAllMembers(view.epoch().members());
+      addView(lending, peer);
       if (echoed != 0) {
         lender.onLent(name, peer.heardAt());
       }
@@ -238,4 +234,16 @@
                 .setLending(lending))
         .build();
   }
+
+  /** Names the view by its number; spells it out until the peer has acknowledged the number. */
+  private void addView(Lending.Builder lending, PeerState peer) {
+    lending.setViewNumber(lender.viewNumber());
+    boolean knowsThisRun = peer.newest().getEchoedIncarnation() == incarnation;
+    boolean knowsView = peer.newest().getLending().getAcknowledgedView() == lender.viewNumber();
+    if (!knowsThisRun || !knowsView) {
+      lending
+          .addAllSkipped(lender.active().skipped())
+          .addAllMembers(lender.active().epoch().members());
+    }
+  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/PeerState.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/PeerState.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.membership;
 
+import java.util.Optional;
+import org.toucanmast.core.allowance.LendingView;
 import org.toucanmast.runtime.peer.PeerIdentity;
 import org.toucanmast.schema.PeerHeartbeat;
 
@@ -9,6 +11,8 @@
   private PeerHeartbeat newest = PeerHeartbeat.getDefaultInstance();
   private long heardAt;
   private boolean heard;
+  private LendingView view = LendingView.NONE;
+  private long viewNumber;
 
   PeerState(PeerIdentity identity) {
     this.identity = identity;
@@ -29,8 +33,25 @@
     return heardAt;
   }
 
+  /** Returns the newest number of the view by which the peer lends. */
+  long viewNumber() {
+    return viewNumber;
+  }
+
+  /** Returns the view of the given number, if it was received. */
+  Optional<LendingView> view(long number) {
+    return number == viewNumber && number > 0 ? Optional.of(view) : Optional.empty();
+  }
+
+  /** Keeps the view by which the peer lends. */
+  void keepView(long number, LendingView received) {
+    viewNumber = number;
+    view = received;
+  }
+
   /** Takes in that the peer runs anew. */
   void restart(PeerIdentity newIdentity) {
+    viewNumber = 0;
     identity = newIdentity;
     newest = PeerHeartbeat.getDefaultInstance();
     heard = false;
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -50,7 +50,7 @@
 /** The duty that serves callers: owns every decision and all state of requests, on one thread. */
 final class RequestsDuty extends VerticleBase implements PeerEvents, CallerServer.Service {
   private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
-  private static final long TICK_IN_MILLISECONDS = 5;
+  private static final long TICK_IN_MILLISECONDS = 25;
   private static final double LEASE_BOUND_FACTOR = 1.1;
   private static final int CONTROL_CONNECTIONS_PER_ENDPOINT = 2;
   private static final int PEER_SILENCE_IN_HEARTBEATS = 5;
@@ -79,6 +79,7 @@
   private Access access;
   private HttpClientAgent endpointClient;
   private EndpointControl control;
+  private Map<String, String> observerCandidates = Map.of();
   private boolean beatScheduled;
   private volatile boolean accepting;
   private volatile boolean stopping;
@@ -235,6 +236,7 @@
     long now = clock.getAsLong();
     network.dial(fleet.peerAddresses());
     fleet.tick(now);
+    observerCandidates = peers.staying(now);
     boolean out = fleet.isTakenOut();
     heartbeats.setLeaving(stopping || out);
     heartbeats.beat(now);
@@ -244,8 +246,7 @@
   private void tick() {
     long now = clock.getAsLong();
     allowances.tick(now);
-    Map<String, String> observers = peers.staying(now);
-    groups.values().forEach(group -> group.tick(configuration.current(), observers, now));
+    groups.values().forEach(group -> group.tick(configuration.current(), observerCandidates, now));
     transactions.tick(now);
     forwards.tick(now);
   }
--- a/standin/src/main/java/org/toucanmast/standin/fleet/Fleet.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/Fleet.java
@@ -58,6 +58,7 @@
   private final Map<String, FleetVm> vms = new TreeMap<>();
   private final FleetCertificates certificates;
   private String platformAddress;
+  private volatile boolean closed;
   private FleetProcess platform;
 
   private Fleet(FleetPlan plan, Detour detour) throws IOException {
@@ -99,6 +100,7 @@
         FleetProcess.start(
             directory,
             "platform",
+            FleetProcess.STANDIN_OPTIONS,
             ToolMain.class,
             List.of(
                 "platform-standin",
@@ -137,7 +139,13 @@
             "--lag", Long.toString(plan.endpoints().lagMilliseconds())));
     databaseControls.put(name, controlAddress);
     databases.put(
-        name, FleetProcess.start(directory, "database-" + name, ToolMain.class, arguments));
+        name,
+        FleetProcess.start(
+            directory,
+            "database-" + name,
+            FleetProcess.STANDIN_OPTIONS,
+            ToolMain.class,
+            arguments));
   }
 
   private void startVms() throws IOException {
@@ -157,7 +165,11 @@
     Files.writeString(settings, settingsOf(name, dataCentre, addresses));
     FleetProcess process =
         FleetProcess.start(
-            directory, name, Main.class, List.of("proxy", "--settings", settings.toString()));
+            directory,
+            name,
+            FleetProcess.VM_OPTIONS,
+            Main.class,
+            List.of("proxy", "--settings", settings.toString()));
     FleetVm vm =
         new FleetVm(
             name,
@@ -325,9 +337,15 @@
     return directory;
   }
 
+  /** Tells whether the fleet was closed. */
+  public boolean isClosed() {
+    return closed;
+  }
+
   /** Ends all processes and removes the directory. */
   @Override
   public void close() throws IOException {
+    closed = true;
     List<FleetProcess> all = new ArrayList<>();
     vms.values().forEach(vm -> all.add(vm.process()));
     all.addAll(databases.values());
--- a/standin/src/main/java/org/toucanmast/standin/fleet/FleetProcess.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/FleetProcess.java
@@ -10,8 +10,14 @@
 /** One process of a fleet. */
 public final class FleetProcess {
   private static final long KILL_TIMEOUT_IN_SECONDS = 10;
-  private static final List<String> JAVA_OPTIONS =
-      List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+  private static final List<String> COMMON_OPTIONS =
+      List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k");
+
+  /** Options of entry VMs, which have little memory. */
+  static final List<String> VM_OPTIONS = List.of("-Xms24m", "-Xmx96m", "-Xmn12m");
+
+  /** Options of stand-ins, which keep whole logs in memory. */
+  static final List<String> STANDIN_OPTIONS = List.of("-Xmx320m");
 
   private final String name;
   private final List<String> command;
@@ -24,12 +30,18 @@
     this.log = log;
   }
 
-  /** Starts a Java process with this process's class path. */
-  static FleetProcess start(Path directory, String name, Class<?> mainClass, List<String> arguments)
+  /**
+   * Starts a Java process with this process's class path.
+   *
+   * @param options of the Java machine, beside the common ones
+   */
+  static FleetProcess start(
+      Path directory, String name, List<String> options, Class<?> mainClass, List<String> arguments)
       throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(JAVA_OPTIONS);
+    command.addAll(COMMON_OPTIONS);
+    command.addAll(options);
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(mainClass.getName());
--- a/standin/src/main/java/org/toucanmast/standin/measure/FailoverMeasurement.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/FailoverMeasurement.java
@@ -119,6 +119,7 @@
   private double gapAfter(long failedAt) {
     List<Sample> after = new ArrayList<>(samples);
     after.removeIf(sample -> sample.endedAt() - failedAt < 0);
+    after.removeIf(sample -> sample.sentAt() - failedAt < -LATE_IN_NANOSECONDS);
     long firstAffected =
         after.stream()
             .filter(each -> !each.ran() || each.endedAt() - each.sentAt() > LATE_IN_NANOSECONDS)
--- a/standin/src/main/java/org/toucanmast/standin/measure/MeasureCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/MeasureCommand.java
@@ -121,6 +121,34 @@
     }
   }
 
+  @Command(
+      name = "neighbours",
+      mixinStandardHelpOptions = true,
+      description = "Customers beside one at eight times its rate and a slow database.")
+  int neighbours(
+      @Option(names = "--entry-vms", defaultValue = "3") int vms,
+      @Option(names = "--seconds", defaultValue = "20") int seconds)
+      throws IOException, InvalidTextException {
+    print(
+        List.of("customer", "p99 alone", "p99 beside", "ratio", "success", "beside"),
+        new ServiceMeasurement(vms, seconds).neighbours());
+    return ExitCodes.OK;
+  }
+
+  @Command(
+      name = "data-centre",
+      mixinStandardHelpOptions = true,
+      description = "Service, second by second, while a data centre leaves and returns.")
+  int dataCentre(
+      @Option(names = "--entry-vms", defaultValue = "3") int vms,
+      @Option(names = "--seconds", defaultValue = "18") int seconds)
+      throws IOException, InvalidTextException {
+    print(
+        List.of("second", "event", "requests", "success", "p50ms", "p99ms"),
+        new ServiceMeasurement(vms, seconds).dataCentre());
+    return ExitCodes.OK;
+  }
+
   private static LoadScenario scenario(
       Fleet fleet, FleetPlan plan, int percent, int seconds, String spread)
       throws InvalidTextException {
