One place for allowances of a scenario, failures of requests, section states, figures

Logic that stood two to four times now stands once (LoadScenario.allowances, RequestFailure.of, SectionState, measure.Figures); unused methods are gone; peers that the platform no longer lists are forgotten.

--- a/cli/src/main/java/org/toucanmast/cli/DataCentreCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/DataCentreCommand.java
@@ -1,6 +1,5 @@
 package org.toucanmast.cli;
 
-import java.util.Map;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,17 +20,12 @@
       description = "Give it no new work; primaries there are moved first.")
   int takeOut(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
       throws CommandException {
-    return setState(options, name, "out");
+    return SectionState.set(spec, options, "data-centre", name, "out");
   }
 
   @Command(name = "bring-back", mixinStandardHelpOptions = true, description = "Use it again.")
   int bringBack(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
       throws CommandException {
-    return setState(options, name, "serving");
-  }
-
-  private int setState(EditOptions options, String name, String state) throws CommandException {
-    return options.edit(
-        spec, document -> DocumentEdits.set(document, "data-centre", name, Map.of("state", state)));
+    return SectionState.set(spec, options, "data-centre", name, "serving");
   }
 }
--- a/cli/src/main/java/org/toucanmast/cli/EndpointCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/EndpointCommand.java
@@ -1,6 +1,5 @@
 package org.toucanmast.cli;
 
-import java.util.Map;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,17 +20,12 @@
       description = "Give it no new work; a primary there is moved first.")
   int takeOut(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
       throws CommandException {
-    return setState(options, name, "leaving");
+    return SectionState.set(spec, options, "endpoint", name, "leaving");
   }
 
   @Command(name = "bring-back", mixinStandardHelpOptions = true, description = "Use it again.")
   int bringBack(@Mixin EditOptions options, @Parameters(paramLabel = "NAME") String name)
       throws CommandException {
-    return setState(options, name, "serving");
-  }
-
-  private int setState(EditOptions options, String name, String state) throws CommandException {
-    return options.edit(
-        spec, document -> DocumentEdits.set(document, "endpoint", name, Map.of("state", state)));
+    return SectionState.set(spec, options, "endpoint", name, "serving");
   }
 }
--- a/core/src/main/java/org/toucanmast/core/allowance/TokenBucket.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/TokenBucket.java
@@ -48,13 +48,6 @@
     tokens = Math.min(allowance.burst(), tokens + count);
   }
 
-  /** Returns how long it takes until one token is there, in nanoseconds; 0 when one is there. */
-  public long nanosecondsToNext(long now) {
-    refill(now);
-    double missing = 1 - tokens;
-    return missing <= 0 ? 0 : (long) (missing / allowance.rate() * NANOSECONDS_PER_SECOND);
-  }
-
   /** Returns the tokens that are there. */
   public double tokens(long now) {
     refill(now);
--- a/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -39,11 +38,6 @@
     return new FleetConfiguration(0, Map.of(), Map.of(), Map.of(), Set.of(), Map.of());
   }
 
-  /** Returns the customer whose key this is. */
-  public Optional<Customer> customerOfKey(String key) {
-    return Optional.ofNullable(customersByKey.get(hashOfKey(key))).map(customers::get);
-  }
-
   /** Returns the hash under which a key is kept. */
   public static String hashOfKey(String key) {
     return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
--- a/integration-tests/src/test/java/org/toucanmast/integration/BackgroundLoad.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/BackgroundLoad.java
@@ -2,11 +2,8 @@
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.standin.fleet.Fleet;
 import org.toucanmast.standin.fleet.ReadyVms;
@@ -49,13 +46,7 @@
   }
 
   List<Violation> violations() {
-    Map<String, Allowance> allowances = new HashMap<>();
-    scenario
-        .customers()
-        .forEach(
-            (name, section) ->
-                allowances.put(name, new Allowance(section.getRate(), section.getBurst())));
-    return HistoryChecker.check(history, allowances);
+    return HistoryChecker.check(history, scenario.allowances());
   }
 
   LoadReport report() {
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/PeerTable.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/PeerTable.java
@@ -10,6 +10,8 @@
 
 /** All peers that this VM has heard of. */
 public final class PeerTable {
+  private static final long FORGET_AFTER_TIMEOUTS = 100;
+
   private final String self;
   private final String dataCentre;
   private final long timeout;
@@ -52,12 +54,14 @@
     return peers.values();
   }
 
-  /** Removes a peer that the platform no longer lists and that is silent. */
-  void retain(Set<String> listed, long now) {
+  /** Removes the peers that the platform no longer lists and that have been silent for long. */
+  public void retain(Set<String> listed, long now) {
     peers
         .values()
         .removeIf(
-            peer -> !listed.contains(peer.identity().name()) && !peer.isLive(now, 100 * timeout));
+            peer ->
+                !listed.contains(peer.identity().name())
+                    && !peer.isLive(now, FORGET_AFTER_TIMEOUTS * timeout));
   }
 
   /** Tells whether a VM is live: this one, or a peer heard within the timeout. */
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
@@ -232,8 +232,7 @@
 
   /** Says "unknown" of anything that may have run, and marks the session's token. */
   private RequestFailure truthful(Throwable cause) {
-    RefusedException refused =
-        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
+    RefusedException refused = RequestFailure.refusalOf(cause);
     if (mayHaveRun) {
       refused =
           refused.refusal() == Refusal.UNAVAILABLE
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestFailure.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestFailure.java
@@ -1,5 +1,6 @@
 package org.toucanmast.runtime.request;
 
+import org.toucanmast.core.request.Refusal;
 import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.session.SessionToken;
 
@@ -15,6 +16,23 @@
     this.token = token;
   }
 
+  /**
+   * Returns the failure of a request whose processing ended with a cause; what is not known here
+   * counts as unavailable.
+   */
+  public static RequestFailure of(Throwable cause, SessionToken token) {
+    return cause instanceof RequestFailure failure
+        ? failure
+        : new RequestFailure(refusalOf(cause), token);
+  }
+
+  /** Returns the refusal in a cause; what is not known here counts as unavailable. */
+  static RefusedException refusalOf(Throwable cause) {
+    return cause instanceof RefusedException refused
+        ? refused
+        : new RefusedException(Refusal.UNAVAILABLE);
+  }
+
   /** Returns the refusal. */
   public RefusedException refused() {
     return refused;
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestPath.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestPath.java
@@ -65,7 +65,7 @@
   public Future<CallerAnswer> run(CallerRequest request) {
     return admit(request)
         .compose(group -> new RequestAttempts(this, group, request).run())
-        .recover(cause -> Future.failedFuture(toFailure(cause, request)));
+        .recover(cause -> Future.failedFuture(RequestFailure.of(cause, request.token())));
   }
 
   /**
@@ -153,13 +153,4 @@
   public long now() {
     return clock.getAsLong();
   }
-
-  private static Throwable toFailure(Throwable cause, CallerRequest request) {
-    if (cause instanceof RequestFailure) {
-      return cause;
-    }
-    RefusedException refused =
-        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
-    return new RequestFailure(refused, request.token());
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
@@ -280,11 +280,6 @@
   }
 
   private static <T> Future<T> fail(Throwable cause, SessionToken token) {
-    if (cause instanceof RequestFailure) {
-      return Future.failedFuture(cause);
-    }
-    RefusedException refused =
-        cause instanceof RefusedException known ? known : new RefusedException(Refusal.UNAVAILABLE);
-    return Future.failedFuture(new RequestFailure(refused, token));
+    return Future.failedFuture(RequestFailure.of(cause, token));
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/FleetDuty.java
@@ -123,6 +123,7 @@
   public void onVms(PlatformVms vms) {
     listed = vms;
     listSeen = true;
+    peers.retain(vms.live().keySet(), clock.getAsLong());
     proposeEpoch();
   }
 
--- a/standin/src/main/java/org/toucanmast/standin/CheckHistoryCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/CheckHistoryCommand.java
@@ -41,7 +41,7 @@
             .map(line -> new JsonObject(line).mapTo(HistoryEntry.class))
             .toList();
     Map<String, Allowance> allowances =
-        scenario == null ? Map.of() : LoadCommand.allowancesOf(LoadScenario.read(scenario));
+        scenario == null ? Map.of() : LoadScenario.read(scenario).allowances();
     List<Violation> violations = HistoryChecker.check(entries, allowances);
     violations.forEach(each -> spec.commandLine().getOut().println(each));
     spec.commandLine()
--- a/standin/src/main/java/org/toucanmast/standin/LoadCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/LoadCommand.java
@@ -5,13 +5,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import org.toucanmast.cli.ExitCodes;
 import org.toucanmast.cli.OutputFormat;
-import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.standin.load.HistoryChecker;
 import org.toucanmast.standin.load.HistoryEntry;
@@ -56,7 +53,7 @@
       Files.write(historyFile, history.stream().map(HistoryEntry::toLine).toList());
     }
     LoadReport report =
-        LoadReport.of(history, scenario, HistoryChecker.check(history, allowancesOf(scenario)));
+        LoadReport.of(history, scenario, HistoryChecker.check(history, scenario.allowances()));
     spec.commandLine()
         .getOut()
         .print(
@@ -78,14 +75,4 @@
       vertx.close().toCompletionStage().toCompletableFuture().join();
     }
   }
-
-  static Map<String, Allowance> allowancesOf(LoadScenario scenario) {
-    Map<String, Allowance> allowances = new LinkedHashMap<>();
-    scenario
-        .customers()
-        .forEach(
-            (name, section) ->
-                allowances.put(name, new Allowance(section.getRate(), section.getBurst())));
-    return allowances;
-  }
 }
--- a/standin/src/main/java/org/toucanmast/standin/QuickstartCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/QuickstartCommand.java
@@ -95,8 +95,7 @@
               .toCompletableFuture()
               .join();
       out.println();
-      return LoadReport.of(
-          history, scenario, HistoryChecker.check(history, LoadCommand.allowancesOf(scenario)));
+      return LoadReport.of(history, scenario, HistoryChecker.check(history, scenario.allowances()));
     } finally {
       vertx.close().toCompletionStage().toCompletableFuture().join();
     }
--- a/standin/src/main/java/org/toucanmast/standin/load/LoadScenario.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/LoadScenario.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.core.text.SectionReader;
 import org.toucanmast.runtime.ini.IniFile;
@@ -23,6 +24,15 @@
     customers = new LinkedHashMap<>(customers);
   }
 
+  /** Returns the allowance of each customer, as the scenario names it. */
+  public Map<String, Allowance> allowances() {
+    Map<String, Allowance> allowances = new LinkedHashMap<>();
+    customers.forEach(
+        (name, section) ->
+            allowances.put(name, new Allowance(section.getRate(), section.getBurst())));
+    return allowances;
+  }
+
   /** Reads a scenario file. */
   public static LoadScenario read(Path file) throws InvalidTextException {
     return of(IniFile.read(file), file.toString());
--- a/standin/src/main/java/org/toucanmast/standin/measure/FailoverMeasurement.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/FailoverMeasurement.java
@@ -8,7 +8,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.toucanmast.standin.fleet.Deployment;
@@ -54,13 +53,13 @@
       long timer = startWriting(fleet);
       List<Double> crashes = new ArrayList<>();
       List<Double> cuts = new ArrayList<>();
-      pause(2_000);
+      Figures.pause(2_000);
       for (int count = 0; count < failovers; count++) {
         boolean crash = count % 2 == 0;
         (crash ? crashes : cuts).add(failOnce(fleet, crash));
       }
       vertx.cancelTimer(timer);
-      pause(1_000);
+      Figures.pause(1_000);
       long lost = acknowledged.get() - present(fleet);
       return List.of(row("crash", crashes, lost), row("cut from group and VMs", cuts, lost));
     } finally {
@@ -110,9 +109,9 @@
             : new JsonObject().put("cutFromGroup", true).put("blockedVms", all);
     long failedAt = System.nanoTime();
     fleet.control().setEndpoint(control, primary, fault);
-    pause(2_500);
+    Figures.pause(2_500);
     fleet.control().setEndpoint(control, primary, new JsonObject());
-    pause(1_500);
+    Figures.pause(1_500);
     return gapAfter(failedAt);
   }
 
@@ -155,20 +154,8 @@
     return List.of(
         fault,
         Integer.toString(sorted.size()),
-        decimal(sorted.get(sorted.size() / 2)),
-        decimal(sorted.get(sorted.size() - 1)),
+        Figures.decimal(sorted.get(sorted.size() / 2)),
+        Figures.decimal(sorted.get(sorted.size() - 1)),
         lost > 0 ? "at least " + lost : "none seen");
   }
-
-  private static String decimal(double value) {
-    return String.format(Locale.ROOT, "%.0f", value);
-  }
-
-  private static void pause(long milliseconds) {
-    try {
-      TimeUnit.MILLISECONDS.sleep(milliseconds);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/standin/src/main/java/org/toucanmast/standin/measure/LatencyMeasurement.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/LatencyMeasurement.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.HdrHistogram.Histogram;
 import org.toucanmast.standin.database.EndpointSettings;
 import org.toucanmast.standin.fleet.Deployment;
@@ -80,7 +79,8 @@
 
   private static List<String> atRest(FleetVm vm) throws IOException {
     ProcessUsage usage = ProcessUsage.of(vm.process().pid());
-    return List.of("at rest", "0", "0", "0", "0", "0", "0", decimal(usage.residentMebibytes()));
+    return List.of(
+        "at rest", "0", "0", "0", "0", "0", "0", Figures.decimal(usage.residentMebibytes()));
   }
 
   private List<String> row(String what, int lanes, Fleet fleet, FleetVm vm, Exchange exchange)
@@ -92,12 +92,12 @@
     return List.of(
         what,
         Integer.toString(lanes),
-        decimal(result.perSecond()),
+        Figures.decimal(result.perSecond()),
         Long.toString(latency.getValueAtPercentile(50)),
         Long.toString(latency.getValueAtPercentile(99)),
         Long.toString(result.failures()),
-        decimal(100 * (after.cpuSeconds() - before.cpuSeconds()) / seconds),
-        decimal(after.residentMebibytes()));
+        Figures.decimal(100 * (after.cpuSeconds() - before.cpuSeconds()) / seconds),
+        Figures.decimal(after.residentMebibytes()));
   }
 
   private Exchange direct(Fleet fleet) {
@@ -150,8 +150,4 @@
     String path = "/v1/databases/" + DATABASE + "/requests";
     return client.send(vm.callers(), path, Fleet.keyOf(CUSTOMER), token, "", body);
   }
-
-  private static String decimal(double value) {
-    return String.format(Locale.ROOT, "%.1f", value);
-  }
 }
--- a/standin/src/main/java/org/toucanmast/standin/measure/MeasureCommand.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/MeasureCommand.java
@@ -97,11 +97,7 @@
     try (Fleet fleet = Fleet.start(plan)) {
       LoadScenario scenario = scenario(fleet, plan, percent, seconds, spread);
       List<HistoryEntry> history = run(fleet, scenario, killAfter, vms);
-      Map<String, Allowance> allowances = new HashMap<>();
-      scenario
-          .customers()
-          .forEach(
-              (name, each) -> allowances.put(name, new Allowance(each.getRate(), each.getBurst())));
+      Map<String, Allowance> allowances = scenario.allowances();
       spec.commandLine()
           .getOut()
           .print(
--- a/standin/src/main/java/org/toucanmast/standin/measure/ServiceMeasurement.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/ServiceMeasurement.java
@@ -6,11 +6,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.standin.fleet.Deployment;
@@ -56,9 +54,9 @@
           rows.add(
               List.of(
                   customer.equals(LOUD) ? customer + " (loud)" : customer,
-                  decimal(before.p99Milliseconds()),
-                  decimal(after.p99Milliseconds()),
-                  decimal(after.p99Milliseconds() / before.p99Milliseconds()),
+                  Figures.decimal(before.p99Milliseconds()),
+                  Figures.decimal(after.p99Milliseconds()),
+                  Figures.decimal(after.p99Milliseconds() / before.p99Milliseconds()),
                   success(before),
                   success(after)));
         });
@@ -99,9 +97,9 @@
       CompletableFuture<List<HistoryEntry>> running = start(fleet, scenario);
       int out = seconds / 3;
       int back = 2 * seconds / 3;
-      sleep(out);
+      Figures.pause(1_000L * (out));
       fleet.operate("data-centre", "take-out", "medellin");
-      sleep(back - out);
+      Figures.pause(1_000L * (back - out));
       fleet.operate("data-centre", "bring-back", "medellin");
       return bySecond(running.join(), Map.of(out, "taken out", back, "brought back"));
     }
@@ -130,9 +128,10 @@
                   second.toString(),
                   events.getOrDefault(second.intValue(), ""),
                   Integer.toString(entries.size()),
-                  decimal(100.0 * ran / entries.size()) + "%",
-                  decimal(latency.getValueAtPercentile(50) / MICROSECONDS_PER_MILLISECOND),
-                  decimal(latency.getValueAtPercentile(99) / MICROSECONDS_PER_MILLISECOND)));
+                  Figures.decimal(100.0 * ran / entries.size()) + "%",
+                  Figures.decimal(latency.getValueAtPercentile(50) / MICROSECONDS_PER_MILLISECOND),
+                  Figures.decimal(
+                      latency.getValueAtPercentile(99) / MICROSECONDS_PER_MILLISECOND)));
         });
     return rows;
   }
@@ -158,18 +157,6 @@
   }
 
   private static String success(CustomerFigures figures) {
-    return decimal(100.0 * figures.ran() / Math.max(1, figures.sent())) + "%";
-  }
-
-  private static String decimal(double value) {
-    return String.format(Locale.ROOT, "%.1f", value);
-  }
-
-  private static void sleep(int count) {
-    try {
-      TimeUnit.SECONDS.sleep(count);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    return Figures.decimal(100.0 * figures.ran() / Math.max(1, figures.sent())) + "%";
   }
 }
--- a/standin/src/main/java/org/toucanmast/standin/measure/SlopeMeasurement.java
+++ b/standin/src/main/java/org/toucanmast/standin/measure/SlopeMeasurement.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.toucanmast.standin.fleet.Deployment;
 import org.toucanmast.standin.fleet.Fleet;
@@ -36,23 +35,23 @@
     FleetPlan plan =
         FleetPlan.of(Deployment.LENTES).withVms(vms).withConfiguration(configuration.toString());
     try (Fleet fleet = Fleet.start(plan)) {
-      sleep(5_000);
+      Figures.pause(5_000);
       FleetVm vm = fleet.vms().get("vm-1");
       ProcessUsage before = ProcessUsage.of(vm.process().pid());
       double bytes = metric(fleet, vm, "peer_bytes_sent_total");
       double messages = metric(fleet, vm, "peer_messages_sent_total");
       JsonObject calls = fleet.control().platformCalls(fleet.platformAddress());
-      sleep(seconds * 1_000);
+      Figures.pause(seconds * 1_000);
       ProcessUsage after = ProcessUsage.of(vm.process().pid());
       JsonObject later = fleet.control().platformCalls(fleet.platformAddress());
       return List.of(
           Integer.toString(vms),
           Integer.toString(8 + extraCustomers),
-          decimal(100 * (after.cpuSeconds() - before.cpuSeconds()) / seconds),
-          decimal(after.residentMebibytes()),
-          decimal((metric(fleet, vm, "peer_bytes_sent_total") - bytes) / seconds),
-          decimal((metric(fleet, vm, "peer_messages_sent_total") - messages) / seconds),
-          decimal((later.getLong("calls") - calls.getLong("calls")) / (double) seconds),
+          Figures.decimal(100 * (after.cpuSeconds() - before.cpuSeconds()) / seconds),
+          Figures.decimal(after.residentMebibytes()),
+          Figures.decimal((metric(fleet, vm, "peer_bytes_sent_total") - bytes) / seconds),
+          Figures.decimal((metric(fleet, vm, "peer_messages_sent_total") - messages) / seconds),
+          Figures.decimal((later.getLong("calls") - calls.getLong("calls")) / (double) seconds),
           Long.toString(configurationDelay(fleet)));
     }
   }
@@ -91,16 +90,4 @@
         .findFirst()
         .orElse(0);
   }
-
-  private static void sleep(long milliseconds) {
-    try {
-      TimeUnit.MILLISECONDS.sleep(milliseconds);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private static String decimal(double value) {
-    return String.format(Locale.ROOT, "%.1f", value);
-  }
 }
