Work that waits for an old primary is routed anew when the primary changes

Cause: writes that waited for a connection to the old primary stood behind calls that nobody would answer, until those ended after the call timeout. Seen: 66 writes/s, primary cut from all VMs, six times: first acknowledged write after 0.41 to 0.45 s, but writes sent at 0.42 s acknowledged up to 1.74 s after they were sent. Ruled out: learning of the new primary (other VMs and later writes at the same VM were acknowledged in 30 ms). Change: a change of term sends all waiting work of the group back to routing; none of it was sent. After: 0.03 to 0.15 s for the same writes. First acknowledged write unchanged.

--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointPool.java
@@ -112,15 +112,17 @@
     pump();
   }
 
-  /** Closes all idle connections and refuses all waiting work. */
-  public void close() {
-    limit = 0;
+  /** Sends all waiting work back, so that it is routed anew; none of it was sent. */
+  public void sendBackWaiting(String reason) {
     waiting
         .removeIf(request -> true)
-        .forEach(
-            each ->
-                each.promise()
-                    .fail(new EndpointException(Kind.NOT_SENT, endpoint + " was removed")));
+        .forEach(each -> each.promise().fail(new EndpointException(Kind.NOT_SENT, reason)));
+  }
+
+  /** Closes all idle connections and sends all waiting work back. */
+  public void close() {
+    limit = 0;
+    sendBackWaiting(endpoint + " was removed");
     while (!idle.isEmpty()) {
       discard(idle.pollLast());
     }
@@ -183,9 +185,8 @@
     opening--;
     failing = true;
     retryAt = clock.getAsLong() + BACKOFF_IN_NANOSECONDS;
-    EndpointException error = new EndpointException(Kind.NOT_SENT, String.valueOf(cause));
     if (open == 0) {
-      waiting.removeIf(request -> true).forEach(each -> each.promise().fail(error));
+      sendBackWaiting(String.valueOf(cause));
     }
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -43,6 +43,7 @@
   private Router router;
   private long usedAt;
   private boolean used;
+  private long routedTerm;
   private long observedAt;
   private long wholeObservedAt;
   private boolean primaryAnswers;
@@ -211,6 +212,10 @@
       observedAt = now;
       observe(usedLately, now);
     }
+    if (view.term() != routedTerm) {
+      routedTerm = view.term();
+      pools.values().forEach(pool -> pool.sendBackWaiting("the primary has changed"));
+    }
     observer.tick(now);
     pools.values().forEach(pool -> pool.tick(now, settings.getConnectionIdleTimeout()));
     promotion.tick(configuration, database, observers, now);
