Requests wait up to 3 s for a token while holders have just changed

Ruled out: a shorter lease alone (saves at most a third of it, worked out from the second that is lost). Change: for some seconds after a change of holders a request waits up to 3 s; a grant's life is 25 ms instead of 50, so less is kept back from bursts.

--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -37,10 +37,12 @@
  */
 public final class AllowanceDuty {
   /** How long a token may be used after it was asked for, in nanoseconds. */
-  public static final long GRANT_LIFE = 50_000_000;
+  public static final long GRANT_LIFE = 25_000_000;
 
   private static final long WAIT_WHEN_EMPTY_IN_NANOSECONDS = 30_000_000;
-  private static final long WAIT_WHEN_UNANSWERED_IN_NANOSECONDS = 1_500_000_000;
+  private static final long WAIT_WHEN_UNANSWERED_IN_NANOSECONDS = 3_000_000_000L;
+  private static final long WAIT_AFTER_CHANGE_IN_NANOSECONDS = 3_000_000_000L;
+  private static final long CHANGE_LASTS_IN_NANOSECONDS = 10_000_000_000L;
 
   private final Vertx vertx;
   private final String self;
@@ -50,6 +52,9 @@
   private final Supplier<LendingView> view;
   private final LongSupplier clock;
   private Map<String, Allowance> allowances = Map.of();
+  private LendingView known = LendingView.NONE;
+  private boolean changed;
+  private long changedAt;
   private boolean flushScheduled;
   private long asks;
 
@@ -162,6 +167,7 @@
 
   /** Asks again, gives out tokens that have come, and refuses what waited too long. */
   public void tick(long now) {
+    noteChange(now);
     holder.tick(now);
     batcher.expireAsks(now);
     batcher.expireRequests(now).forEach(AllowanceDuty::refuse);
@@ -172,10 +178,24 @@
     request.fail(new RefusedException(Refusal.OVER_ALLOWANCE));
   }
 
+  /** Returns how long a request waits for an empty bucket; a moved one starts empty. */
+  private long patience(long now) {
+    return changed && now - changedAt < CHANGE_LASTS_IN_NANOSECONDS
+        ? WAIT_AFTER_CHANGE_IN_NANOSECONDS
+        : WAIT_WHEN_EMPTY_IN_NANOSECONDS;
+  }
+
+  private void noteChange(long now) {
+    LendingView current = view.get();
+    if (!current.equals(known)) {
+      known = current;
+      changed = true;
+      changedAt = now;
+    }
+  }
+
   private void refuseLongWaiting(String customer, long now) {
-    batcher
-        .removeSince(customer, now - WAIT_WHEN_EMPTY_IN_NANOSECONDS)
-        .forEach(AllowanceDuty::refuse);
+    batcher.removeSince(customer, now - patience(now)).forEach(AllowanceDuty::refuse);
   }
 
   private Optional<String> holderOf(String customer) {
