Test: a file is applied although the answer was lost

With the reading back of edit ids broken, OperatorTest had stayed green: a command that changes one thing makes its change again and finds it done. configuration apply does not, so its test shows the reading back itself.

--- a/integration-tests/src/test/java/org/toucanmast/integration/OperatorTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/OperatorTest.java
@@ -59,6 +59,19 @@
     assertThat(show()).contains("burst = 21");
   }
 
+  @Test
+  void should_apply_a_file_although_the_answer_was_lost() throws IOException {
+    Fleet fleet = SharedFleet.fleet();
+    Path file = write(show().replace("burst = 15", "burst = 16"));
+
+    fleet.control().setFault(fleet.platformAddress(), PlatformFault.LOST_ANSWERS, 0);
+    int code = fleet.operate("configuration", "apply", file.toString());
+    fleet.control().setFault(fleet.platformAddress(), PlatformFault.NONE, 0);
+
+    assertThat(code).isEqualTo(ExitCodes.OK);
+    assertThat(show()).contains("burst = 16");
+  }
+
   @Test
   void should_refuse_a_configuration_with_an_unknown_template_whole() throws IOException {
     String before = show();
