--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -37,7 +37,7 @@
  */
 public final class AllowanceDuty {
   /** How long a token may be used after it was asked for, in nanoseconds. */
-  public static final long GRANT_LIFE = 25_000_000;
+  public static final long GRANT_LIFE = 50_000_000;
 
   private static final double NANOSECONDS_PER_SECOND = 1e9;
   private static final long WAIT_WHEN_EMPTY_IN_NANOSECONDS = 30_000_000;
