--- a/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.toucanmast.core.text.InvalidTextException;
-import org.toucanmast.standin.database.EndpointSettings;
 import org.toucanmast.standin.fleet.Deployment;
 import org.toucanmast.standin.fleet.Fleet;
 import org.toucanmast.standin.fleet.FleetPlan;
@@ -62,28 +61,13 @@
 
   @Given("replicas follow {int} ms late")
   public void lag(int milliseconds) {
-    var endpoints = plan.endpoints();
-    plan =
-        plan.withEndpoints(
-            new EndpointSettings(
-                endpoints.slots(),
-                endpoints.connections(),
-                endpoints.connectMilliseconds(),
-                endpoints.serviceMicroseconds(),
-                milliseconds));
+    plan = plan.withEndpoints(plan.endpoints().withLag(milliseconds));
   }
 
   @Given("endpoints take {int} ms for a request")
   public void serviceTime(int milliseconds) {
-    var endpoints = plan.endpoints();
-    plan =
-        plan.withEndpoints(
-            new EndpointSettings(
-                endpoints.slots(),
-                endpoints.connections(),
-                endpoints.connectMilliseconds(),
-                TimeUnit.MILLISECONDS.toMicros(milliseconds),
-                endpoints.lagMilliseconds()));
+    long microseconds = TimeUnit.MILLISECONDS.toMicros(milliseconds);
+    plan = plan.withEndpoints(plan.endpoints().withService(microseconds));
   }
 
   @Given("writes are acknowledged by {word}")
--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -40,6 +40,7 @@
   public static final long GRANT_LIFE = 50_000_000;
 
   private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final long FLUSH_PAUSE_IN_MILLISECONDS = 5;
   private static final long WAIT_WHEN_EMPTY_IN_NANOSECONDS = 30_000_000;
   private static final long WAIT_WHEN_UNANSWERED_IN_NANOSECONDS = 3_000_000_000L;
   private static final long WAIT_AFTER_CHANGE_IN_NANOSECONDS = 3_000_000_000L;
@@ -160,15 +161,23 @@
   }
 
   private void giveBack(String peer, Map<String, Integer> unused) {
-    TokenReturn.Builder message = TokenReturn.newBuilder();
-    unused.forEach(
-        (customer, count) ->
-            message.addReturned(TokenCount.newBuilder().setCustomer(customer).setCount(count)));
-    if (message.getReturnedCount() > 0) {
+    if (!unused.isEmpty()) {
+      TokenReturn message = TokenReturn.newBuilder().addAllReturned(countsOf(unused)).build();
       sender.test(peer, PeerMessage.newBuilder().setTokenReturn(message).build());
     }
   }
 
+  private static List<TokenCount> countsOf(Map<String, Integer> counts) {
+    return counts.entrySet().stream()
+        .map(
+            each ->
+                TokenCount.newBuilder()
+                    .setCustomer(each.getKey())
+                    .setCount(each.getValue())
+                    .build())
+        .toList();
+  }
+
   /** Asks again, gives out tokens that have come, and refuses what waited too long. */
   public void tick(long now) {
     noteChange(now);
@@ -230,7 +239,7 @@
     if (!flushScheduled) {
       flushScheduled = true;
       vertx.setTimer(
-          5,
+          FLUSH_PAUSE_IN_MILLISECONDS,
           timer -> {
             flushScheduled = false;
             flush();
@@ -271,11 +280,8 @@
 
   private void ask(String peer, List<String> customers, long now) {
     Ask ask = batcher.ask(customers, now);
-    TokenAsk.Builder message = TokenAsk.newBuilder().setAskId(ask.id());
-    ask.counts()
-        .forEach(
-            (customer, count) ->
-                message.addAsks(TokenCount.newBuilder().setCustomer(customer).setCount(count)));
+    TokenAsk message =
+        TokenAsk.newBuilder().setAskId(ask.id()).addAllAsks(countsOf(ask.counts())).build();
     asks++;
     sender.test(peer, PeerMessage.newBuilder().setTokenAsk(message).build());
   }
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointSettings.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointSettings.java
@@ -16,12 +16,14 @@
     long serviceMicroseconds,
     long lagMilliseconds) {
 
-  EndpointSettings withLag(long milliseconds) {
+  /** Returns the same settings with another lag. */
+  public EndpointSettings withLag(long milliseconds) {
     return new EndpointSettings(
         slots, connections, connectMilliseconds, serviceMicroseconds, milliseconds);
   }
 
-  EndpointSettings withService(long microseconds) {
+  /** Returns the same settings with another time of service. */
+  public EndpointSettings withService(long microseconds) {
     return new EndpointSettings(
         slots, connections, connectMilliseconds, microseconds, lagMilliseconds);
   }
