--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/failover/package-info.java
@@ -0,0 +1,2 @@
+/** When a primary is given up, and which endpoint follows it. */
+package org.toucanmast.core.failover;
--- a/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Rendezvous hashing: every VM ranks the same members in the same order for a duty. */
@@ -24,6 +25,26 @@
     return members.stream().min(order(duty));
   }
 
+  /**
+   * Returns all members, the first choice for the duty first; a member of twice the weight is first
+   * choice for twice as many duties.
+   *
+   * <p>Source: weighted rendezvous hashing, Schindelhauer and Schomaker, Weighted Distributed Hash
+   * Tables, 2005.
+   */
+  public static List<String> rankByWeight(String duty, Map<String, Double> weights) {
+    return weights.keySet().stream()
+        .sorted(
+            Comparator.<String>comparingDouble(member -> cost(duty, member, weights.get(member)))
+                .thenComparing(Comparator.naturalOrder()))
+        .toList();
+  }
+
+  private static double cost(String duty, String member, double weight) {
+    double uniform = ((score(duty, member) >>> 11) + 0.5) * 0x1.0p-53;
+    return -Math.log(uniform) / weight;
+  }
+
   private static Comparator<String> order(String duty) {
     return Comparator.<String>comparingLong(member -> score(duty, member))
         .thenComparing(Comparator.naturalOrder());
--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Rates of customers over all VMs, shared out by demand. */
+package org.toucanmast.core.quota;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The clocks of a VM. */
+package org.toucanmast.runtime.clock;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines, one for each decision. */
+package org.toucanmast.runtime.events;
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
@@ -0,0 +1,105 @@
+package org.toucanmast.runtime.fleet;
+
+import java.util.Optional;
+import org.toucanmast.core.group.Position;
+import org.toucanmast.core.statement.Access;
+import org.toucanmast.core.statement.Operation;
+import org.toucanmast.core.statement.PreparedShape;
+import org.toucanmast.core.statement.ResultCode;
+import org.toucanmast.core.statement.RouteKind;
+import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.StatementResult;
+import org.toucanmast.schema.LogPosition;
+import org.toucanmast.schema.PreparedStatement;
+import org.toucanmast.schema.StatementAnswer;
+import org.toucanmast.schema.StatementCall;
+
+/** Translates statements and results to messages between VMs and back. */
+final class StatementMessages {
+  private static final Operation[] OPERATIONS = Operation.values();
+  private static final RouteKind[] KINDS = RouteKind.values();
+  private static final ResultCode[] CODES = ResultCode.values();
+
+  private StatementMessages() {}
+
+  static StatementCall toCall(long callId, StatementRequest request) {
+    StatementCall.Builder call =
+        StatementCall.newBuilder()
+            .setCallId(callId)
+            .setRequestId(request.requestId())
+            .setGroup(request.group())
+            .setCustomer(request.customer())
+            .setOperation(request.operation().ordinal())
+            .setText(request.text())
+            .putAllValues(request.values())
+            .setKind(request.kind().ordinal())
+            .setStalenessInMilliseconds(request.stalenessInMilliseconds())
+            .setSeen(toMessage(request.seen()))
+            .setTransaction(request.transaction())
+            .setReadOnly(request.readOnly())
+            .setPriority(request.priority())
+            .setRemainingInMilliseconds(request.remainingInMilliseconds())
+            .setGoalInMilliseconds(request.goalInMilliseconds());
+    request
+        .prepared()
+        .ifPresent(
+            shape ->
+                call.setPrepared(
+                    PreparedStatement.newBuilder()
+                        .setWrites(shape.access() == Access.WRITE)
+                        .setShape(shape.shape())));
+    return call.build();
+  }
+
+  static StatementRequest toRequest(StatementCall call) {
+    Optional<PreparedShape> prepared = Optional.empty();
+    if (call.hasPrepared()) {
+      Access access = call.getPrepared().getWrites() ? Access.WRITE : Access.READ;
+      prepared = Optional.of(new PreparedShape(access, call.getPrepared().getShape()));
+    }
+    return new StatementRequest(
+        call.getRequestId(),
+        call.getGroup(),
+        call.getCustomer(),
+        OPERATIONS[call.getOperation()],
+        call.getText(),
+        prepared,
+        call.getValuesMap(),
+        KINDS[call.getKind()],
+        call.getStalenessInMilliseconds(),
+        toPosition(call.getSeen()),
+        call.getTransaction(),
+        call.getReadOnly(),
+        call.getPriority(),
+        call.getRemainingInMilliseconds(),
+        call.getGoalInMilliseconds());
+  }
+
+  static StatementAnswer toAnswer(long callId, StatementResult result) {
+    return StatementAnswer.newBuilder()
+        .setCallId(callId)
+        .setCode(result.code().ordinal())
+        .addAllRows(result.rows())
+        .setText(result.text())
+        .setPosition(toMessage(result.position()))
+        .setTransaction(result.transaction())
+        .build();
+  }
+
+  static StatementResult toResult(StatementAnswer answer) {
+    return new StatementResult(
+        CODES[answer.getCode()],
+        answer.getRowsList(),
+        answer.getText(),
+        toPosition(answer.getPosition()),
+        answer.getTransaction());
+  }
+
+  private static LogPosition toMessage(Position position) {
+    return LogPosition.newBuilder().setTerm(position.term()).setIndex(position.index()).build();
+  }
+
+  private static Position toPosition(LogPosition message) {
+    return new Position(message.getTerm(), message.getIndex());
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -0,0 +1,231 @@
+package org.toucanmast.runtime.gateway;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.statement.EndpointCommand;
+import org.toucanmast.core.statement.EndpointReply;
+import org.toucanmast.core.statement.PreparedShape;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.port.DialectException;
+import org.toucanmast.runtime.port.EndpointDialect;
+
+/**
+ * One connection to an endpoint, opened for one customer.
+ *
+ * <p>Commands are answered in order. The connection knows the session values and prepared names
+ * that the endpoint holds for it, so that it can be brought to those of a caller's session.
+ */
+final class EndpointConnection {
+
+  /** Why a connection ended. */
+  enum Loss {
+    /** Nothing listens at the address. */
+    REFUSED,
+    /** No answer to the attempt to connect. */
+    UNREACHABLE,
+    /** The connection closed. */
+    CLOSED
+  }
+
+  /** What is done with the replies to a series of commands. */
+  interface ReplyHandler {
+    /** The reply to the command with the given index came. */
+    void onReply(int index, EndpointReply reply);
+
+    /**
+     * The connection ended before the reply to the command with the given index.
+     *
+     * @param sent whether the command may have reached the endpoint
+     */
+    void onLost(int index, Loss loss, boolean sent);
+  }
+
+  private record Expected(ReplyHandler handler, int index, long since) {}
+
+  private final EndpointEntry entry;
+  private final String customer;
+  private final EndpointDialect dialect;
+  private final EndpointDialect.Decoder decoder;
+  private final VmClock clock;
+  private final Runnable onClosed;
+  private final Deque<Expected> expected = new ArrayDeque<>();
+  private final Map<String, String> values = new HashMap<>();
+  private final Set<PreparedShape> prepared = new HashSet<>();
+  private final Buffer unsent = Buffer.buffer();
+  private NetSocket socket;
+  private boolean closed;
+  private boolean busy;
+  private long lastUsed;
+
+  EndpointConnection(
+      NetClient client,
+      EndpointDialect dialect,
+      VmClock clock,
+      EndpointEntry entry,
+      String customer,
+      Runnable onClosed) {
+    this.entry = entry;
+    this.customer = customer;
+    this.dialect = dialect;
+    this.decoder = dialect.decoder();
+    this.clock = clock;
+    this.onClosed = onClosed;
+    client
+        .connect(entry.port(), entry.host())
+        .onSuccess(this::onConnected)
+        .onFailure(
+            error ->
+                end(
+                    error instanceof ConnectException && isRefusal(error)
+                        ? Loss.REFUSED
+                        : Loss.UNREACHABLE,
+                    false));
+  }
+
+  private static boolean isRefusal(Throwable error) {
+    String message = String.valueOf(error.getMessage());
+    return !message.contains("timed out");
+  }
+
+  private void onConnected(NetSocket connected) {
+    if (closed) {
+      connected.close();
+      return;
+    }
+    socket = connected;
+    socket.handler(this::onBytes);
+    socket.closeHandler(done -> end(Loss.CLOSED, true));
+    socket.exceptionHandler(error -> end(Loss.CLOSED, true));
+    if (unsent.length() > 0) {
+      socket.write(unsent.copy());
+    }
+  }
+
+  /** Sends commands; the handler is called once for each of them, in order. */
+  void exchange(List<EndpointCommand> commands, ReplyHandler handler) {
+    long now = clock.now();
+    Buffer bytes = Buffer.buffer();
+    for (int index = 0; index < commands.size(); index++) {
+      bytes.appendBuffer(dialect.encode(commands.get(index)));
+      expected.addLast(new Expected(handler, index, now));
+    }
+    lastUsed = now;
+    if (closed) {
+      failPending(Loss.CLOSED, false);
+    } else if (socket == null) {
+      unsent.appendBuffer(bytes);
+    } else {
+      socket.write(bytes);
+    }
+  }
+
+  private void onBytes(Buffer bytes) {
+    try {
+      for (EndpointReply reply : decoder.feed(bytes)) {
+        Expected next = expected.pollFirst();
+        if (next == null) {
+          throw new DialectException("a reply to nothing");
+        }
+        lastUsed = clock.now();
+        next.handler().onReply(next.index(), reply);
+      }
+    } catch (DialectException e) {
+      close();
+    }
+  }
+
+  /**
+   * Returns the commands that give the connection the session's values and the prepared statement.
+   */
+  List<EndpointCommand> alignTo(Map<String, String> wanted, Optional<PreparedShape> statement) {
+    List<EndpointCommand> commands = new ArrayList<>();
+    if (!wanted.keySet().containsAll(values.keySet())) {
+      commands.add(new EndpointCommand.Reset());
+      values.clear();
+      prepared.clear();
+    }
+    wanted.forEach(
+        (name, value) -> {
+          if (!value.equals(values.put(name, value))) {
+            commands.add(new EndpointCommand.SetValue(name, value));
+          }
+        });
+    statement
+        .filter(prepared::add)
+        .ifPresent(shape -> commands.add(new EndpointCommand.Prepare(shape.endpointName(), shape)));
+    return commands;
+  }
+
+  /** Notes that the endpoint does not know the prepared names that it was given. */
+  void forgetPrepared() {
+    prepared.clear();
+  }
+
+  boolean hasValues(Map<String, String> wanted) {
+    return values.equals(wanted);
+  }
+
+  String customer() {
+    return customer;
+  }
+
+  EndpointEntry entry() {
+    return entry;
+  }
+
+  boolean isBusy() {
+    return busy;
+  }
+
+  void setBusy(boolean nowBusy) {
+    busy = nowBusy;
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
+  long lastUsed() {
+    return lastUsed;
+  }
+
+  /** Returns since when a reply is awaited; very late when none is. */
+  long waitingSince() {
+    Expected oldest = expected.peekFirst();
+    return oldest == null ? Long.MAX_VALUE : oldest.since();
+  }
+
+  void close() {
+    end(Loss.CLOSED, true);
+  }
+
+  private void end(Loss loss, boolean sent) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    if (socket != null) {
+      socket.close();
+    }
+    onClosed.run();
+    failPending(loss, sent && socket != null);
+  }
+
+  private void failPending(Loss loss, boolean sent) {
+    List<Expected> lost = new ArrayList<>(expected);
+    expected.clear();
+    lost.forEach(item -> item.handler().onLost(item.index(), loss, sent));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -0,0 +1,282 @@
+package org.toucanmast.runtime.gateway;
+
+import io.vertx.core.net.NetClient;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.failover.PrimarySuspicion;
+import org.toucanmast.core.gateway.ConnectionBudget;
+import org.toucanmast.core.gateway.ReplicaLag;
+import org.toucanmast.core.gateway.ServiceTimes;
+import org.toucanmast.core.statement.EndpointCommand;
+import org.toucanmast.core.statement.EndpointReply;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.runtime.port.EndpointDialect;
+
+/** The connections to one endpoint, and what this gateway knows of it. */
+final class EndpointPool {
+  /** Statements in flight beyond the slots, so that an answer's way back leaves no slot idle. */
+  private static final int STATEMENTS_BEYOND_SLOTS = 1;
+
+  /** First guess of a statement's time, in milliseconds. */
+  private static final double SERVICE_GUESS_IN_MILLISECONDS = 25;
+
+  /** Pause after the first failed connection, in milliseconds; doubles with each further one. */
+  private static final long FIRST_PAUSE_IN_MILLISECONDS = 50;
+
+  /** Longest pause between attempts to connect, so that a restart is noticed soon. */
+  private static final long LONGEST_PAUSE_IN_MILLISECONDS = 400;
+
+  /** Pause after the endpoint was found to be another one than its entry says. */
+  private static final long WRONG_ENDPOINT_PAUSE_IN_MILLISECONDS = 1_000;
+
+  private final NetClient client;
+  private final EndpointDialect dialect;
+  private final VmClock clock;
+  private final EventLog log;
+  private final List<EndpointConnection> connections = new ArrayList<>();
+  private final ServiceTimes serviceTimes = new ServiceTimes(SERVICE_GUESS_IN_MILLISECONDS);
+  private final ReplicaLag lag = new ReplicaLag();
+  private final PrimarySuspicion suspicion = new PrimarySuspicion();
+  private final ConnectionBudget budget;
+  private EndpointEntry entry;
+  private boolean takenOut;
+  private int running;
+  private long avoidedUntil = Long.MIN_VALUE;
+  private long pause = FIRST_PAUSE_IN_MILLISECONDS;
+  private long opened;
+
+  EndpointPool(
+      NetClient client,
+      EndpointDialect dialect,
+      VmClock clock,
+      EventLog log,
+      EndpointEntry entry,
+      int maximumConnections) {
+    this.client = client;
+    this.dialect = dialect;
+    this.clock = clock;
+    this.log = log;
+    this.entry = entry;
+    this.budget = new ConnectionBudget(maximumConnections);
+  }
+
+  /** Takes a newer entry of the same endpoint; connections to an earlier run are closed. */
+  void update(EndpointEntry newer) {
+    boolean sameRun = entry.isSameRun(newer);
+    entry = newer;
+    if (!sameRun) {
+      List.copyOf(connections).forEach(EndpointConnection::close);
+      lag.reset();
+      avoidedUntil = Long.MIN_VALUE;
+    }
+  }
+
+  void setTakenOut(boolean nowTakenOut) {
+    takenOut = nowTakenOut;
+  }
+
+  void setMaximumConnections(int maximumConnections) {
+    budget.resize(maximumConnections);
+  }
+
+  /** Returns whether new work may be sent to the endpoint at all. */
+  boolean mayWork() {
+    return !entry.draining() && !takenOut;
+  }
+
+  /** Returns whether a statement can be started now. */
+  boolean canStart(long now) {
+    return hasSlot() && now >= avoidedUntil && hasConnection(now);
+  }
+
+  /** Returns whether the endpoint is not known to be out of reach. */
+  boolean isReachable(long now) {
+    return now >= avoidedUntil && !suspicion.isSuspected(now);
+  }
+
+  boolean hasSlot() {
+    return running < entry.slots() + STATEMENTS_BEYOND_SLOTS;
+  }
+
+  private boolean hasConnection(long now) {
+    return connections.size() < budget.limit(now)
+        || connections.stream().anyMatch(connection -> !connection.isBusy());
+  }
+
+  /** Returns how full the endpoint is with this gateway's statements; 1 means all slots. */
+  double load() {
+    return (double) running / entry.slots();
+  }
+
+  boolean hasIdle(String customer) {
+    return connections.stream()
+        .anyMatch(connection -> !connection.isBusy() && connection.customer().equals(customer));
+  }
+
+  /** Takes a connection for a customer; its slot is taken with it. */
+  Optional<EndpointConnection> acquire(String customer, Map<String, String> values) {
+    Optional<EndpointConnection> idle =
+        connections.stream()
+            .filter(item -> !item.isBusy() && item.customer().equals(customer))
+            .max(
+                Comparator.<EndpointConnection, Boolean>comparing(item -> item.hasValues(values))
+                    .thenComparing(EndpointConnection::lastUsed));
+    if (idle.isEmpty()) {
+      idle = open(customer);
+    }
+    idle.ifPresent(connection -> connection.setBusy(true));
+    return idle;
+  }
+
+  /** Takes any idle connection, or opens one for the given customer. */
+  Optional<EndpointConnection> acquireAny(String customer) {
+    Optional<EndpointConnection> found =
+        connections.stream().filter(connection -> !connection.isBusy()).findFirst();
+    if (found.isEmpty()) {
+      found = open(customer);
+    }
+    found.ifPresent(connection -> connection.setBusy(true));
+    return found;
+  }
+
+  private Optional<EndpointConnection> open(String customer) {
+    if (connections.size() >= budget.limit(clock.now()) && !evict()) {
+      return Optional.empty();
+    }
+    opened++;
+    EndpointConnection[] self = new EndpointConnection[1];
+    self[0] =
+        new EndpointConnection(
+            client, dialect, clock, entry, customer, () -> connections.remove(self[0]));
+    connections.add(self[0]);
+    self[0].exchange(
+        List.of(new EndpointCommand.Open(entry.group(), customer, entry.id())), opening(self));
+    return Optional.of(self[0]);
+  }
+
+  private EndpointConnection.ReplyHandler opening(EndpointConnection[] self) {
+    return new EndpointConnection.ReplyHandler() {
+      @Override
+      public void onReply(int index, EndpointReply reply) {
+        if (reply.isSuccess()) {
+          pause = FIRST_PAUSE_IN_MILLISECONDS;
+          suspicion.answered();
+          observePosition(reply);
+        } else {
+          onOpenRefused(reply);
+          self[0].close();
+        }
+      }
+
+      @Override
+      public void onLost(int index, EndpointConnection.Loss loss, boolean sent) {
+        onConnectionFailed(loss);
+      }
+    };
+  }
+
+  private void observePosition(EndpointReply reply) {
+    lag.observe(reply.position(), NO_HISTORY, clock.now());
+  }
+
+  private static final org.toucanmast.core.freshness.PositionHistory NO_HISTORY =
+      new org.toucanmast.core.freshness.PositionHistory(0);
+
+  private void onOpenRefused(EndpointReply reply) {
+    long now = clock.now();
+    log.log(
+        EventKind.ENDPOINT,
+        "connection refused by endpoint",
+        "endpoint",
+        entry.id(),
+        "code",
+        reply.code(),
+        "open",
+        connections.size());
+    switch (reply.code()) {
+      case CONNECTION_LIMIT -> budget.refused(connections.size() - 1, now);
+      case WRONG_ENDPOINT -> avoidedUntil = now + WRONG_ENDPOINT_PAUSE_IN_MILLISECONDS;
+      default -> avoidedUntil = now + FIRST_PAUSE_IN_MILLISECONDS;
+    }
+  }
+
+  private void onConnectionFailed(EndpointConnection.Loss loss) {
+    long now = clock.now();
+    if (loss == EndpointConnection.Loss.REFUSED) {
+      suspicion.refused(now);
+    }
+    avoidedUntil = now + pause;
+    pause = Math.min(LONGEST_PAUSE_IN_MILLISECONDS, pause * 2);
+  }
+
+  private boolean evict() {
+    Optional<EndpointConnection> oldest =
+        connections.stream()
+            .filter(connection -> !connection.isBusy())
+            .min(Comparator.comparingLong(EndpointConnection::lastUsed));
+    oldest.ifPresent(EndpointConnection::close);
+    return oldest.isPresent();
+  }
+
+  /** Gives a connection back. */
+  void release(EndpointConnection connection) {
+    connection.setBusy(false);
+  }
+
+  void startStatement() {
+    running++;
+  }
+
+  void endStatement() {
+    running--;
+  }
+
+  /** Closes all connections. */
+  void close() {
+    List.copyOf(connections).forEach(EndpointConnection::close);
+  }
+
+  /** Returns the connections that have been waiting for a reply since before the given time. */
+  List<EndpointConnection> waitingSince(long time) {
+    return connections.stream().filter(item -> item.waitingSince() < time).toList();
+  }
+
+  EndpointEntry entry() {
+    return entry;
+  }
+
+  ServiceTimes serviceTimes() {
+    return serviceTimes;
+  }
+
+  ReplicaLag lag() {
+    return lag;
+  }
+
+  PrimarySuspicion suspicion() {
+    return suspicion;
+  }
+
+  /** Does not start statements here for some time. */
+  void avoid(long milliseconds) {
+    avoidedUntil = Math.max(avoidedUntil, clock.now() + milliseconds);
+  }
+
+  int openConnections() {
+    return connections.size();
+  }
+
+  int idleConnections() {
+    return (int) connections.stream().filter(connection -> !connection.isBusy()).count();
+  }
+
+  long openedInTotal() {
+    return opened;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -0,0 +1,109 @@
+package org.toucanmast.runtime.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanmast.core.catalog.Catalog;
+import org.toucanmast.core.catalog.GroupLimits;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.runtime.port.EndpointDialect;
+
+/** What the gateways of a VM share. */
+public final class GatewayContext {
+  /** A group without statements for this long is not observed, in milliseconds. */
+  private static final long ACTIVE_FOR_IN_MILLISECONDS = 3_000;
+
+  /** Connections assumed when the configuration does not name the group. */
+  private static final int FEW_CONNECTIONS = 4;
+
+  private final Vertx vertx;
+  private final NetClient client;
+  private final EndpointDialect dialect;
+  private final VmClock clock;
+  private final EventLog log;
+  private final PromotionDesk promotions;
+  private Catalog catalog = Catalog.EMPTY;
+  private Set<String> takenOut = Set.of();
+  private long lastTransaction;
+
+  /** Creates a context with an empty configuration. */
+  public GatewayContext(
+      Vertx vertx,
+      NetClient client,
+      EndpointDialect dialect,
+      VmClock clock,
+      EventLog log,
+      PromotionDesk promotions) {
+    this.vertx = vertx;
+    this.client = client;
+    this.dialect = dialect;
+    this.clock = clock;
+    this.log = log;
+    this.promotions = promotions;
+  }
+
+  /** Puts a configuration in force. */
+  public void setCatalog(Catalog newer) {
+    catalog = newer;
+  }
+
+  /** Sets the data centres that take no work. */
+  public void setTakenOut(Set<String> dataCentres) {
+    takenOut = Set.copyOf(dataCentres);
+  }
+
+  Vertx vertx() {
+    return vertx;
+  }
+
+  NetClient client() {
+    return client;
+  }
+
+  EndpointDialect endpointDialect() {
+    return dialect;
+  }
+
+  VmClock clock() {
+    return clock;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  PromotionDesk promotions() {
+    return promotions;
+  }
+
+  boolean isTakenOut(String dataCentre) {
+    return takenOut.contains(dataCentre);
+  }
+
+  int maximumConnections(String group) {
+    GroupLimits limits = catalog.groups().get(group);
+    return limits == null ? FEW_CONNECTIONS : limits.maximumConnections();
+  }
+
+  long idleTransactionMilliseconds() {
+    return catalog.idleTransactionInMilliseconds();
+  }
+
+  long activeForMilliseconds() {
+    return ACTIVE_FOR_IN_MILLISECONDS;
+  }
+
+  /** Returns a customer under whose name the gateway may connect for its own questions. */
+  Optional<String> anyCustomer() {
+    return catalog.customersByKey().values().stream()
+        .map(customer -> customer.name())
+        .min(String::compareTo);
+  }
+
+  long nextTransaction() {
+    lastTransaction++;
+    return lastTransaction;
+  }
+}
--- a/runtime/src/main/java/org/toucanmast/runtime/metrics/HdrReservoir.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/HdrReservoir.java
@@ -6,7 +6,7 @@
 import org.HdrHistogram.Recorder;
 
 /** A Dropwizard reservoir that keeps every value in an HdrHistogram. */
-final class HdrReservoir implements Reservoir {
+public final class HdrReservoir implements Reservoir {
   private static final int SIGNIFICANT_DIGITS = 2;
   private final Recorder recorder = new Recorder(SIGNIFICANT_DIGITS);
   private final Histogram total = new Histogram(SIGNIFICANT_DIGITS);
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/EndpointStatus.java
@@ -0,0 +1,12 @@
+package org.toucanmast.runtime.port;
+
+import org.toucanmast.core.group.Position;
+
+/**
+ * What an endpoint says of itself.
+ *
+ * @param leads whether it believes that it leads
+ * @param term its term
+ * @param received the newest position that it received, applied or not
+ */
+public record EndpointStatus(boolean leads, long term, Position received) {}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -0,0 +1,198 @@
+package org.toucanmast.runtime.session;
+
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.runtime.fleet.FleetLinks;
+import org.toucanmast.runtime.fleet.FleetMember;
+import org.toucanmast.runtime.port.ObjectStore;
+import org.toucanmast.runtime.port.StoreException;
+import org.toucanmast.runtime.port.StoredObject;
+import org.toucanmast.runtime.store.KindMirror;
+
+/**
+ * The VMs of the fleet as the store lists them.
+ *
+ * <p>Each VM writes its own object at its start and deletes it at a planned stop. The object of a
+ * VM that nobody reaches is deleted by one of the others; a VM that is deleted by mistake writes
+ * itself again.
+ */
+final class FleetRegistry implements KindMirror.Listener {
+  /** The kind of the members' objects. */
+  static final String KIND = "toucanmast-vms";
+
+  /** Pause before a failed registration is tried again, in milliseconds. */
+  private static final long RETRY_IN_MILLISECONDS = 500;
+
+  /** A VM that was out of reach for this long is taken to be gone for good. */
+  private static final long GONE_AFTER_IN_MILLISECONDS = 15_000;
+
+  private final Vertx vertx;
+  private final ObjectStore store;
+  private final VmClock clock;
+  private final EventLog log;
+  private final FleetMember self;
+  private final FleetLinks links;
+  private final Runnable onChanged;
+  private final Map<String, FleetMember> members = new TreeMap<>();
+  private final Map<String, Long> revisions = new HashMap<>();
+  private final Map<String, Long> unreachableSince = new HashMap<>();
+  private boolean registering;
+  private boolean leaving;
+
+  FleetRegistry(
+      Vertx vertx,
+      ObjectStore store,
+      VmClock clock,
+      EventLog log,
+      FleetMember self,
+      FleetLinks links,
+      Runnable onChanged) {
+    this.vertx = vertx;
+    this.store = store;
+    this.clock = clock;
+    this.log = log;
+    this.self = self;
+    this.links = links;
+    this.onChanged = onChanged;
+    members.put(self.name(), self);
+  }
+
+  @Override
+  public void onObject(StoredObject object) {
+    revisions.put(object.name(), object.revision());
+    Optional<FleetMember> member = FleetMember.of(object.name(), object.content());
+    if (object.name().equals(self.name())) {
+      if (member.isEmpty() || !member.get().equals(self)) {
+        register();
+      }
+      return;
+    }
+    if (member.isEmpty()) {
+      log.log(EventKind.MEMBERSHIP, "unreadable member", "peer", object.name());
+      return;
+    }
+    members.put(object.name(), member.get());
+    links.add(member.get());
+    log.log(EventKind.MEMBERSHIP, "member", "peer", object.name(), "members", members.size());
+    onChanged.run();
+  }
+
+  @Override
+  public void onGone(String name) {
+    revisions.remove(name);
+    if (name.equals(self.name())) {
+      register();
+      return;
+    }
+    members.remove(name);
+    unreachableSince.remove(name);
+    links.remove(name);
+    log.log(EventKind.MEMBERSHIP, "member gone", "peer", name, "members", members.size());
+    onChanged.run();
+  }
+
+  @Override
+  public void onListed() {
+    if (!revisions.containsKey(self.name())) {
+      register();
+    }
+  }
+
+  private void register() {
+    if (registering || leaving) {
+      return;
+    }
+    registering = true;
+    store
+        .create(KIND, self.name(), self.toJson())
+        .recover(this::replaceExisting)
+        .onComplete(
+            result -> {
+              registering = false;
+              if (result.succeeded()) {
+                revisions.put(self.name(), result.result().revision());
+              } else {
+                log.log(
+                    EventKind.MEMBERSHIP,
+                    "registration failed",
+                    "reason",
+                    result.cause().getMessage());
+                vertx.setTimer(RETRY_IN_MILLISECONDS, fired -> register());
+              }
+            });
+  }
+
+  private io.vertx.core.Future<StoredObject> replaceExisting(Throwable error) {
+    boolean exists =
+        error instanceof StoreException failure
+            && failure.reason() == StoreException.Reason.CONFLICT;
+    if (!exists) {
+      return io.vertx.core.Future.failedFuture(error);
+    }
+    return store
+        .get(KIND, self.name())
+        .compose(found -> store.replace(KIND, self.name(), self.toJson(), found.revision()));
+  }
+
+  /** Deletes this VM's own object, at a planned stop. */
+  void leave() {
+    leaving = true;
+    Long revision = revisions.get(self.name());
+    if (revision != null) {
+      store
+          .delete(KIND, self.name(), revision)
+          .onFailure(
+              error ->
+                  log.log(EventKind.MEMBERSHIP, "could not leave", "reason", error.getMessage()));
+    }
+  }
+
+  /**
+   * Deletes the objects of VMs that are gone; called now and then.
+   *
+   * @param reaper whether this VM does that for the fleet
+   */
+  void reap(boolean reaper) {
+    long now = clock.now();
+    for (String name : members.keySet()) {
+      if (name.equals(self.name()) || links.alive(name).isPresent()) {
+        unreachableSince.remove(name);
+      } else {
+        unreachableSince.putIfAbsent(name, now);
+      }
+    }
+    boolean isolated = unreachableSince.size() * 2 >= members.size();
+    if (!reaper || isolated) {
+      return;
+    }
+    unreachableSince.forEach(
+        (name, since) -> {
+          Long revision = revisions.get(name);
+          if (now - since > GONE_AFTER_IN_MILLISECONDS && revision != null) {
+            log.log(EventKind.MEMBERSHIP, "member deleted", "peer", name);
+            store
+                .delete(KIND, name, revision)
+                .onFailure(
+                    error ->
+                        log.log(
+                            EventKind.MEMBERSHIP,
+                            "member not deleted",
+                            "peer",
+                            name,
+                            "reason",
+                            error.getMessage()));
+          }
+        });
+  }
+
+  /** Returns all VMs, this one among them. */
+  Map<String, FleetMember> members() {
+    return members;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
@@ -0,0 +1,133 @@
+package org.toucanmast.runtime.session;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.toucanmast.core.catalog.Catalog;
+import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.StatementResult;
+import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.runtime.gateway.GatewayContext;
+import org.toucanmast.runtime.gateway.GroupGateway;
+import org.toucanmast.runtime.port.PlatformModel;
+import org.toucanmast.runtime.port.StoredObject;
+import org.toucanmast.runtime.store.KindMirror;
+
+/** The gateways of all groups at this VM, and the endpoints that the store lists for them. */
+final class GroupGateways {
+  private final GatewayContext context;
+  private final PlatformModel model;
+  private final EventLog log;
+  private final Map<String, GroupGateway> gateways = new HashMap<>();
+  private final Map<String, EndpointEntry> entries = new HashMap<>();
+  private final Set<String> takenOut = new HashSet<>();
+
+  GroupGateways(GatewayContext context, PlatformModel model, EventLog log) {
+    this.context = context;
+    this.model = model;
+    this.log = log;
+  }
+
+  private GroupGateway gateway(String group) {
+    return gateways.computeIfAbsent(group, any -> new GroupGateway(context, group));
+  }
+
+  void execute(StatementRequest request, String caller, Consumer<StatementResult> consumer) {
+    gateway(request.group()).execute(request, caller, consumer);
+  }
+
+  void onCatalog(Catalog catalog) {
+    context.setCatalog(catalog);
+    gateways.values().forEach(GroupGateway::onCatalog);
+  }
+
+  /** Returns what follows the endpoints' entries. */
+  KindMirror.Listener endpoints() {
+    return new KindMirror.Listener() {
+      @Override
+      public void onObject(StoredObject object) {
+        onEndpoint(object);
+      }
+
+      @Override
+      public void onGone(String name) {
+        removeEndpoint(name);
+      }
+    };
+  }
+
+  private void onEndpoint(StoredObject object) {
+    Optional<EndpointEntry> entry = model.endpoint(object.name(), object.content());
+    if (entry.isEmpty()) {
+      log.log(EventKind.ENDPOINT, "unusable entry", "endpoint", object.name());
+      removeEndpoint(object.name());
+      return;
+    }
+    EndpointEntry before = entries.put(object.name(), entry.get());
+    if (before != null && !before.group().equals(entry.get().group())) {
+      gateway(before.group()).onEndpointGone(object.name());
+    }
+    log.log(EventKind.ENDPOINT, "entry", "endpoint", object.name(), "entry", entry.get());
+    gateway(entry.get().group()).onEndpoint(entry.get());
+  }
+
+  private void removeEndpoint(String name) {
+    EndpointEntry before = entries.remove(name);
+    if (before != null) {
+      log.log(EventKind.ENDPOINT, "entry gone", "endpoint", name);
+      gateway(before.group()).onEndpointGone(name);
+    }
+  }
+
+  /** Returns what follows the data centres that are taken out. */
+  KindMirror.Listener dataCentres() {
+    return new KindMirror.Listener() {
+      @Override
+      public void onObject(StoredObject object) {
+        takenOut.add(object.name());
+        onTakenOut();
+      }
+
+      @Override
+      public void onGone(String name) {
+        takenOut.remove(name);
+        onTakenOut();
+      }
+    };
+  }
+
+  private void onTakenOut() {
+    log.log(EventKind.CONFIGURATION, "data centres taken out", "data_centres", takenOut);
+    context.setTakenOut(takenOut);
+    gateways.values().forEach(GroupGateway::onCatalog);
+  }
+
+  void onCallerGone(String caller) {
+    gateways.values().forEach(gateway -> gateway.onCallerGone(caller));
+  }
+
+  void distrustTimes() {
+    gateways.values().forEach(GroupGateway::distrustTimes);
+  }
+
+  void sweep() {
+    gateways.values().forEach(GroupGateway::sweep);
+  }
+
+  boolean isIdle() {
+    return gateways.values().stream().allMatch(GroupGateway::isIdle);
+  }
+
+  boolean hasEndpoints() {
+    return !entries.isEmpty();
+  }
+
+  void close() {
+    gateways.values().forEach(GroupGateway::close);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
@@ -0,0 +1,39 @@
+package org.toucanmast.runtime.session;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.toucanmast.core.statement.ResultCode;
+import org.toucanmast.core.statement.RouteKind;
+import org.toucanmast.runtime.metrics.HdrReservoir;
+
+/** Counters and latencies of statements, by customer and by kind of route. */
+final class SessionMetrics {
+  private final MetricRegistry registry;
+  private final Map<String, Timer> byCustomer = new HashMap<>();
+  private final Map<RouteKind, Timer> byKind = new HashMap<>();
+
+  SessionMetrics(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Notes a statement's result. */
+  void onResult(String customer, RouteKind kind, ResultCode code, long milliseconds) {
+    registry.counter("session.results." + code.name().toLowerCase(java.util.Locale.ROOT)).inc();
+    if (code == ResultCode.SUCCESS) {
+      byCustomer
+          .computeIfAbsent(customer, name -> timer("session.customer." + name))
+          .update(milliseconds, TimeUnit.MILLISECONDS);
+      byKind
+          .computeIfAbsent(
+              kind, any -> timer("session.route." + kind.name().toLowerCase(java.util.Locale.ROOT)))
+          .update(milliseconds, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private Timer timer(String name) {
+    return registry.timer(name, () -> new Timer(new HdrReservoir()));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/package-info.java
@@ -0,0 +1,2 @@
+/** Mirrors of what the object store holds, kept by watches. */
+package org.toucanmast.runtime.store;
