Promotions by the first gateway only; admission for reads at the primary; links outlive registrations

(3) after a restart of all VMs each new registration closed the link that was open. Ruled out: the fence (all orders answered 200, tokens rose). Change: only the first gateway orders; it takes its token in calm times and orders nothing for a lease after it took the duty from another VM. Reads for the primary pass the same admission. A link is kept while the address is the same; a new keeper's first tokens do not depend on what is lent yet.

--- a/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
+++ b/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
@@ -23,6 +23,7 @@
   private static final double SMALLEST_PART = 1e-6;
 
   private final TokenBucket bucket;
+  private int first;
 
   /**
    * Creates an allowance that was not kept here before.
@@ -30,9 +31,8 @@
    * @param lent the part that is lent to this keeper, from 0 to 1
    */
   public KeptAllowance(Allowance whole, double lent, long now) {
-    Allowance part = part(whole, lent);
-    this.bucket =
-        new TokenBucket(part, part.burst() * FIRST_TOKENS, now * NANOSECONDS_PER_MILLISECOND);
+    this.bucket = new TokenBucket(part(whole, lent), 0, now * NANOSECONDS_PER_MILLISECOND);
+    this.first = (int) (whole.burst() * FIRST_TOKENS);
   }
 
   private static Allowance part(Allowance whole, double lent) {
@@ -47,7 +47,10 @@
 
   /** Takes tokens; returns how many were taken. */
   public int take(int count, long now) {
-    return bucket.take(count, now * NANOSECONDS_PER_MILLISECOND);
+    int taken = bucket.take(count, now * NANOSECONDS_PER_MILLISECOND);
+    int more = Math.min(first, count - taken);
+    first -= more;
+    return taken + more;
   }
 
   /** Puts back the tokens of operations that did not run. */
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
@@ -52,10 +52,10 @@
     return server.start(address, port);
   }
 
-  /** Keeps a link to a VM; a link to an earlier address or run of it is closed. */
+  /** Keeps a link to a VM; a link to an earlier address of it is closed. */
   public void add(FleetMember member) {
     FleetLink known = links.get(member.name());
-    if (known != null && known.member().equals(member)) {
+    if (known != null && known.member().hasAddressOf(member)) {
       return;
     }
     remove(member.name());
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMember.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMember.java
@@ -21,6 +21,11 @@
   private static final String CAPACITY = "capacity";
   private static final String INCARNATION = "incarnation";
 
+  /** Returns whether another member listens at the same address. */
+  boolean hasAddressOf(FleetMember other) {
+    return host.equals(other.host) && port == other.port;
+  }
+
   /** Returns the content of the member's object in the store. */
   public JsonObject toJson() {
     return new JsonObject()
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.NetClient;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.GroupLimits;
 import org.toucanmast.runtime.clock.VmClock;
@@ -24,6 +25,7 @@
   private final VmClock clock;
   private final EventLog log;
   private final PromotionDesk promotions;
+  private Predicate<String> firstGateway = group -> true;
   private Catalog catalog = Catalog.EMPTY;
   private Set<String> takenOut = Set.of();
   private long lastTransaction;
@@ -44,6 +46,16 @@
     this.promotions = promotions;
   }
 
+  /** Sets how to tell whether this VM is the first gateway of a group. */
+  public void setFirstGateway(Predicate<String> test) {
+    firstGateway = test;
+  }
+
+  /** Returns whether this VM is the first gateway of a group; only that one orders promotions. */
+  boolean isFirstGateway(String group) {
+    return firstGateway.test(group);
+  }
+
   /** Puts a configuration in force. */
   public void setCatalog(Catalog newer) {
     catalog = newer;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -172,7 +172,7 @@
     if (statement.needsPrimary()) {
       wait = Math.max(wait, keeper.expectedOutage(context.clock().now()));
     }
-    return Admission.admits(wait, mean, request.remainingInMilliseconds());
+    return Admission.admits(wait, mean, statement.deadline() - context.clock().now());
   }
 
   private WorkQueue<PendingStatement> queueOf(PendingStatement statement) {
@@ -324,8 +324,12 @@
 
   private void handToPrimary(PendingStatement statement) {
     statement.requirePrimary();
-    enqueue(statement);
-    pumpPrimary(context.clock().now());
+    if (admits(statement)) {
+      enqueue(statement);
+      pumpPrimary(context.clock().now());
+    } else {
+      refuse(statement, ResultCode.BUSY, "only the primary holds the data, and it is full");
+    }
   }
 
   private boolean isExpired(PendingStatement statement, long now) {
@@ -429,9 +433,10 @@
       return;
     }
     if (code == ResultCode.LAGGING) {
-      statement.requirePrimary();
+      handToPrimary(statement);
+    } else {
+      enqueue(statement);
     }
-    enqueue(statement);
   }
 
   private void onTransactionReply(StatementRun run, EndpointReply reply, long now) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -183,7 +183,13 @@
     if (orderedAt != Long.MAX_VALUE && (active || waiting)) {
       search(now);
     }
-    if (now >= quietUntil && mustReplace(leader, now)) {
+    if (!context.isFirstGateway(group)) {
+      return;
+    }
+    if (active) {
+      context.promotions().prepareSoon(group, now);
+    }
+    if (now >= quietUntil && mustReplace(leader, now) && context.promotions().mayOrder(group)) {
       replace(leader, now);
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
@@ -4,6 +4,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.Map;
+import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore;
@@ -16,12 +17,19 @@
  *
  * <p>For each group an object in the store names the VM that may order; the revision of its last
  * change is the token. The token is taken in calm times, so that a promotion needs no store. A
- * token that was refused, or whose order has no known outcome, is not used again.
+ * token that was refused, or whose order has no known outcome, is not used again. A VM that takes
+ * the duty over from another one that may still live orders nothing for the time of a lease.
  */
 public final class PromotionDesk {
   /** The kind of the objects that name the holders. */
   private static final String KIND = "toucanmast-promotions";
 
+  /** Two holders do not order within this time of each other, in milliseconds. */
+  private static final long LEASE_IN_MILLISECONDS = 3_500;
+
+  /** Between two attempts to take the duty in calm times, in milliseconds. */
+  private static final long PREPARE_AGAIN_IN_MILLISECONDS = 1_000;
+
   private static final String HOLDER = "holder";
   private static final String COUNT = "count";
 
@@ -29,48 +37,91 @@
   private final PromotionOrders orders;
   private final EventLog log;
   private final String vm;
-  private final Map<String, Long> tokens = new HashMap<>();
-  private final Map<String, Future<Long>> taking = new HashMap<>();
+  private final VmClock clock;
+  private final Map<String, Token> tokens = new HashMap<>();
+  private final Map<String, Future<Token>> taking = new HashMap<>();
+  private final Map<String, Long> preparedAt = new HashMap<>();
   private long count;
 
+  /**
+   * A fencing token.
+   *
+   * @param value the store's revision
+   * @param usableFrom when the first order may be given, on the steady clock
+   */
+  private record Token(long value, long usableFrom) {}
+
   /** Creates a desk without tokens. */
-  public PromotionDesk(ObjectStore store, PromotionOrders orders, EventLog log, String vm) {
+  public PromotionDesk(
+      ObjectStore store, PromotionOrders orders, VmClock clock, EventLog log, String vm) {
+    this.clock = clock;
     this.store = store;
     this.orders = orders;
     this.log = log;
     this.vm = vm;
   }
 
-  /** Returns a token for a group, from the store when none is held. */
-  Future<Long> token(String group) {
-    Long held = tokens.get(group);
+  /** Takes the duty for a group, if this VM does not hold it yet; failures are tried again. */
+  void prepareSoon(String group, long now) {
+    if (tokens.containsKey(group) || now < preparedAt.getOrDefault(group, Long.MIN_VALUE)) {
+      return;
+    }
+    preparedAt.put(group, now + PREPARE_AGAIN_IN_MILLISECONDS);
+    token(group)
+        .onFailure(
+            error ->
+                log.log(
+                    EventKind.PROMOTION, "no token", "group", group, "reason", error.getMessage()));
+  }
+
+  /** Returns whether an order could be given now, or the duty is not held yet. */
+  boolean mayOrder(String group) {
+    Token held = tokens.get(group);
+    return held == null || clock.now() >= held.usableFrom();
+  }
+
+  private Future<Token> token(String group) {
+    Token held = tokens.get(group);
     if (held != null) {
       return Future.succeededFuture(held);
     }
-    return taking.computeIfAbsent(
-        group,
-        any ->
-            take(group)
-                .onComplete(
-                    result -> {
-                      taking.remove(group);
-                      if (result.succeeded()) {
-                        tokens.put(group, result.result());
-                      }
-                    }));
+    Future<Token> running = taking.get(group);
+    if (running != null) {
+      return running;
+    }
+    Future<Token> started = take(group);
+    if (!started.isComplete()) {
+      taking.put(group, started);
+    }
+    return started.onComplete(
+        result -> {
+          taking.remove(group);
+          if (result.succeeded()) {
+            tokens.put(group, result.result());
+          }
+        });
   }
 
-  private Future<Long> take(String group) {
+  private Future<Token> take(String group) {
     return store
         .get(KIND, group)
         .compose(
-            object -> store.replace(KIND, group, content(), object.revision()),
-            error -> isMissing(error) ? store.create(KIND, group, content()) : failed(error))
-        .map(StoredObject::revision);
+            object ->
+                store
+                    .replace(KIND, group, content(), object.revision())
+                    .map(taken -> takenFrom(object, taken)),
+            error ->
+                isMissing(error)
+                    ? store
+                        .create(KIND, group, content())
+                        .map(taken -> new Token(taken.revision(), clock.now()))
+                    : Future.failedFuture(error));
   }
 
-  private static Future<StoredObject> failed(Throwable error) {
-    return Future.failedFuture(error);
+  private Token takenFrom(StoredObject before, StoredObject taken) {
+    boolean own = before.content() != null && vm.equals(before.content().getString(HOLDER));
+    long wait = own ? 0 : LEASE_IN_MILLISECONDS;
+    return new Token(taken.revision(), clock.now() + wait);
   }
 
   private static boolean isMissing(Throwable error) {
@@ -95,9 +146,12 @@
             });
   }
 
-  private Future<PromotionOrders.Outcome> order(String group, String endpointId, long token) {
+  private Future<PromotionOrders.Outcome> order(String group, String endpointId, Token token) {
+    if (clock.now() < token.usableFrom()) {
+      return Future.succeededFuture(PromotionOrders.Outcome.UNAVAILABLE);
+    }
     return orders
-        .promote(group, endpointId, vm, token)
+        .promote(group, endpointId, vm, token.value())
         .onSuccess(
             outcome -> {
               log.log(
@@ -108,7 +162,7 @@
                   "endpoint",
                   endpointId,
                   "token",
-                  token,
+                  token.value(),
                   "outcome",
                   outcome);
               if (outcome == PromotionOrders.Outcome.REFUSED
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
@@ -20,4 +20,10 @@
   List<String> rank(String group) {
     return ranks.computeIfAbsent(group, any -> Rendezvous.rankByWeight(group, capacities));
   }
+
+  /** Returns whether a VM is the first choice for a group. */
+  boolean isFirst(String group, String vm) {
+    List<String> ranked = rank(group);
+    return !ranked.isEmpty() && ranked.get(0).equals(vm);
+  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -116,7 +116,7 @@
             ports.endpoints(),
             clock,
             log,
-            new PromotionDesk(ports.store(), ports.promotions(), log, settings.name()));
+            new PromotionDesk(ports.store(), ports.promotions(), clock, log, settings.name()));
     this.gateways = new GroupGateways(context, model, log);
     long incarnation = System.currentTimeMillis();
     this.links =
@@ -129,6 +129,7 @@
             settings.name(),
             incarnation);
     this.router = new GatewayRouter();
+    context.setFirstGateway(group -> router.isFirst(group, settings.name()));
     this.quota = new QuotaDesk(vertx, clock, settings.name(), links);
     this.sessions =
         new SessionContext(
