--- a/core/src/main/java/org/toucanmast/core/fairness/FairQueue.java
+++ b/core/src/main/java/org/toucanmast/core/fairness/FairQueue.java
@@ -101,6 +101,28 @@
     return removed;
   }
 
+  /**
+   * Returns how many items are served before a new one of a customer: its own, and as many of each
+   * other customer as have their turn until then. All items must have a cost of one quantum.
+   */
+  public int aheadOf(String customer) {
+    CustomerQueue<T> own = queues.get(customer);
+    int ownWaiting = waiting(customer);
+    int ahead = ownWaiting;
+    for (CustomerQueue<T> queue : queues.values()) {
+      if (queue != own) {
+        ahead += Math.min(queue.entries.size(), ownWaiting + 1);
+      }
+    }
+    return ahead;
+  }
+
+  /** Returns how many items of a customer wait. */
+  public int waiting(String customer) {
+    CustomerQueue<T> queue = queues.get(customer);
+    return queue == null ? 0 : queue.entries.size();
+  }
+
   /** Returns the number of waiting items. */
   public int size() {
     return size;
--- a/core/src/main/java/org/toucanmast/core/gateway/Admission.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/Admission.java
@@ -9,12 +9,12 @@
  */
 public final class Admission {
   /** Share of the time left that the expected wait may take; the rest is for variation. */
-  private static final double USABLE_SHARE = 0.7;
+  private static final double USABLE_SHARE = 0.5;
 
   private Admission() {}
 
   /**
-   * Returns the expected time in the queue, in milliseconds.
+   * Returns the expected time in the queue, in milliseconds, but for what others will add.
    *
    * @param ahead the statements that are served before
    * @param slots the statements that run at once
@@ -29,6 +29,16 @@
     return waiting <= 0 ? 0 : waiting * serviceMilliseconds / slots;
   }
 
+  /**
+   * Returns the expected time in the queue, in milliseconds.
+   *
+   * @param byQueue the wait by what is ahead now
+   * @param byPace the wait by the pace at which the customer's backlog is served
+   */
+  public static double expectedWait(double byQueue, double byPace) {
+    return byQueue <= 0 ? 0 : Math.max(byQueue, byPace);
+  }
+
   /**
    * Returns whether a statement should wait.
    *
--- a/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
@@ -1,7 +1,9 @@
 package org.toucanmast.core.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -21,50 +23,103 @@
 
   private static final int EQUAL_COST = 1;
 
-  private final TreeMap<Integer, FairQueue<T>> byPriority = new TreeMap<>();
+  /** Weight of the newest interval between two statements of a customer. */
+  private static final double GAIN = 1.0 / 8;
+
+  private record Waiting<T>(String customer, T item) {}
+
+  /** One priority. */
+  private static final class Lane<T> {
+    private final FairQueue<Waiting<T>> queue = new FairQueue<>(CAPACITY_PER_CUSTOMER, EQUAL_COST);
+    private final Map<String, Drain> drains = new HashMap<>();
+  }
+
+  /** How fast a customer's backlog is served. */
+  private static final class Drain {
+    private long servedAt;
+    private double interval;
+
+    private Drain(long now) {
+      this.servedAt = now;
+    }
+
+    private void served(long now) {
+      double sample = now - servedAt;
+      interval = interval == 0 ? sample : interval + GAIN * (sample - interval);
+      servedAt = now;
+    }
+  }
+
+  private final TreeMap<Integer, Lane<T>> lanes = new TreeMap<>();
   private int size;
 
   /** Adds a statement; returns false when its customer's queue is full. */
-  public boolean offer(int priority, String customer, T item) {
-    FairQueue<T> queue =
-        byPriority.computeIfAbsent(
-            priority, any -> new FairQueue<>(CAPACITY_PER_CUSTOMER, EQUAL_COST));
-    boolean added = queue.offer(customer, item, EQUAL_COST);
-    if (added) {
-      size++;
+  public boolean offer(int priority, String customer, T item, long now) {
+    Lane<T> lane = lanes.computeIfAbsent(priority, any -> new Lane<>());
+    if (!lane.queue.offer(customer, new Waiting<>(customer, item), EQUAL_COST)) {
+      return false;
     }
-    return added;
+    lane.drains.computeIfAbsent(customer, any -> new Drain(now));
+    size++;
+    return true;
   }
 
   /** Removes and returns the next statement. */
-  public Optional<T> poll() {
-    for (FairQueue<T> queue : byPriority.values()) {
-      Optional<T> next = queue.poll();
+  public Optional<T> poll(long now) {
+    for (Lane<T> lane : lanes.values()) {
+      Optional<Waiting<T>> next = lane.queue.poll();
       if (next.isPresent()) {
         size--;
-        return next;
+        noteServed(lane, next.get().customer(), now);
+        return Optional.of(next.get().item());
       }
     }
     return Optional.empty();
   }
 
+  private void noteServed(Lane<T> lane, String customer, long now) {
+    if (lane.queue.waiting(customer) == 0) {
+      lane.drains.remove(customer);
+    } else {
+      lane.drains.get(customer).served(now);
+    }
+  }
+
   /** Removes and returns every statement that matches. */
   public List<T> removeIf(Predicate<T> condition) {
     List<T> removed = new ArrayList<>();
-    for (FairQueue<T> queue : byPriority.values()) {
-      removed.addAll(queue.removeIf(condition));
+    for (Lane<T> lane : lanes.values()) {
+      lane.queue
+          .removeIf(waiting -> condition.test(waiting.item()))
+          .forEach(waiting -> removed.add(waiting.item()));
+      lane.drains.keySet().removeIf(customer -> lane.queue.waiting(customer) == 0);
     }
     size -= removed.size();
     return removed;
   }
 
-  /** Returns how many statements would be served before a new one of the given priority. */
-  public int aheadOf(int priority) {
+  /**
+   * Returns how many statements are served before a new one of a customer: all of higher priority,
+   * and of its own priority those that fair turns put before it.
+   */
+  public int aheadOf(int priority, String customer) {
     int ahead = 0;
-    for (FairQueue<T> queue : byPriority.headMap(priority, true).values()) {
-      ahead += queue.size();
+    for (Lane<T> lane : lanes.headMap(priority, false).values()) {
+      ahead += lane.queue.size();
     }
-    return ahead;
+    Lane<T> own = lanes.get(priority);
+    return own == null ? ahead : ahead + own.queue.aheadOf(customer);
+  }
+
+  /**
+   * Returns how long a customer's backlog takes at the pace at which it was served lately, in
+   * milliseconds; 0 when it has none. Customers that come later take their turns, too, and only the
+   * measured pace shows that.
+   */
+  public double backlogTime(int priority, String customer) {
+    Lane<T> lane = lanes.get(priority);
+    Drain drain = lane == null ? null : lane.drains.get(customer);
+    return drain == null ? 0 : (lane.queue.waiting(customer) + 1) * drain.interval;
   }
 
   /** Returns the number of waiting statements. */
--- /dev/null
+++ b/core/src/test/java/org/toucanmast/core/freshness/PositionHistoryTest.java
@@ -0,0 +1,70 @@
+package org.toucanmast.core.freshness;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.toucanmast.core.group.Position;
+
+class PositionHistoryTest {
+  private final PositionHistory history = new PositionHistory(10_000);
+
+  @Test
+  void should_know_nothing_before_the_first_observation() {
+    assertThat(history.required(1_500, 100)).isEmpty();
+    assertThat(history.age(100)).isEqualTo(Long.MAX_VALUE);
+  }
+
+  @Test
+  void should_require_the_oldest_position_that_is_recent_enough() {
+    history.observe(1_000, new Position(3, 10));
+    history.observe(2_000, new Position(3, 20));
+    history.observe(3_000, new Position(3, 30));
+
+    assertThat(history.required(1_500, 3_100)).contains(new Position(3, 20));
+    assertThat(history.required(500, 3_100)).contains(new Position(3, 30));
+  }
+
+  @Test
+  void should_require_nothing_known_when_all_observations_are_too_old() {
+    history.observe(1_000, new Position(3, 10));
+
+    assertThat(history.required(1_500, 2_501)).isEmpty();
+    assertThat(history.required(1_500, 2_500)).contains(new Position(3, 10));
+  }
+
+  @Test
+  void should_count_a_close_observation_as_the_newest() {
+    history.observe(1_000, new Position(3, 10));
+    history.observe(1_005, new Position(3, 11));
+
+    assertThat(history.newest()).isEqualTo(new Position(3, 11));
+    assertThat(history.required(10, 1_012)).contains(new Position(3, 11));
+  }
+
+  @Test
+  void should_tell_when_a_position_was_first_seen() {
+    history.observe(1_000, new Position(3, 10));
+    history.observe(2_000, new Position(3, 20));
+
+    assertThat(history.reachedAt(new Position(3, 15))).contains(2_000L);
+    assertThat(history.reachedAt(new Position(3, 21))).isEmpty();
+  }
+
+  @Test
+  void should_forget_ages_but_keep_the_newest_position_when_clocks_disagree() {
+    history.observe(1_000, new Position(3, 10));
+
+    history.distrust();
+
+    assertThat(history.required(1_500, 1_000)).isEmpty();
+    assertThat(history.newest()).isEqualTo(new Position(3, 10));
+  }
+
+  @Test
+  void should_not_let_a_late_answer_of_an_old_question_count_as_recent() {
+    history.observe(2_000, new Position(3, 20));
+    history.observe(1_000, new Position(3, 25));
+
+    assertThat(history.age(2_100)).isEqualTo(100);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/toucanmast/core/gateway/ConnectionBudgetTest.java
@@ -0,0 +1,27 @@
+package org.toucanmast.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ConnectionBudgetTest {
+  @Test
+  void should_leave_room_for_the_connections_of_a_gateway_that_has_just_failed() {
+    assertThat(new ConnectionBudget(21).limit(0)).isLessThan(21).isGreaterThan(10);
+  }
+
+  @Test
+  void should_never_be_without_any_connection() {
+    assertThat(new ConnectionBudget(1).limit(0)).isEqualTo(1);
+  }
+
+  @Test
+  void should_be_careful_for_a_while_after_a_refusal() {
+    ConnectionBudget budget = new ConnectionBudget(20);
+
+    budget.refused(7, 1_000);
+
+    assertThat(budget.limit(1_000)).isEqualTo(7);
+    assertThat(budget.limit(10_000)).isEqualTo(15);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/toucanmast/core/gateway/ServiceTimesTest.java
@@ -0,0 +1,29 @@
+package org.toucanmast.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import org.junit.jupiter.api.Test;
+
+class ServiceTimesTest {
+  @Test
+  void should_follow_what_the_endpoint_does() {
+    ServiceTimes times = new ServiceTimes(25);
+    for (int i = 0; i < 100; i++) {
+      times.observe(8);
+    }
+
+    assertThat(times.mean()).isCloseTo(8, within(0.1));
+    assertThat(times.high()).isCloseTo(8, within(0.5));
+  }
+
+  @Test
+  void should_expect_more_when_times_vary() {
+    ServiceTimes times = new ServiceTimes(25);
+    for (int i = 0; i < 100; i++) {
+      times.observe(i % 2 == 0 ? 5 : 45);
+    }
+
+    assertThat(times.high()).isGreaterThan(60);
+  }
+}
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -168,11 +168,16 @@
       counted = 1;
     }
     double mean = service / counted;
-    double wait = Admission.expectedWait(queue.aheadOf(request.priority()), slots, free, mean);
+    long now = context.clock().now();
+    int ahead = queue.aheadOf(request.priority(), request.customer());
+    double wait =
+        Admission.expectedWait(
+            Admission.expectedWait(ahead, slots, free, mean),
+            queue.backlogTime(request.priority(), request.customer()));
     if (statement.needsPrimary()) {
-      wait = Math.max(wait, keeper.expectedOutage(context.clock().now()));
+      wait = Math.max(wait, keeper.expectedOutage(now));
     }
-    return Admission.admits(wait, mean, statement.deadline() - context.clock().now());
+    return Admission.admits(wait, mean, statement.deadline() - now);
   }
 
   private WorkQueue<PendingStatement> queueOf(PendingStatement statement) {
@@ -181,7 +186,9 @@
 
   private void enqueue(PendingStatement statement) {
     StatementRequest request = statement.request();
-    boolean queued = queueOf(statement).offer(request.priority(), request.customer(), statement);
+    boolean queued =
+        queueOf(statement)
+            .offer(request.priority(), request.customer(), statement, context.clock().now());
     if (!queued) {
       refuse(statement, ResultCode.BUSY, "too many statements of this customer wait");
     }
@@ -241,7 +248,7 @@
       if (leader.isEmpty()) {
         return;
       }
-      PendingStatement statement = primaryQueue.poll().orElseThrow();
+      PendingStatement statement = primaryQueue.poll(now).orElseThrow();
       if (!isExpired(statement, now)) {
         boolean wrapped = statement.request().operation() == Operation.READ;
         start(statement, leader.get(), Optional.empty(), wrapped);
@@ -255,7 +262,7 @@
         return;
       }
       if (nextRead == null) {
-        nextRead = readQueue.poll().orElseThrow();
+        nextRead = readQueue.poll(now).orElseThrow();
       }
       if (isExpired(nextRead, now)) {
         nextRead = null;
