A whole burst after a restart of the whole fleet; runtime tests

Cause: after a restart of all VMs the new keepers' buckets are nearly empty while the callers' backlog returns. Change: pulses carry the uptime; a young keeper that hears only young VMs, at least half of the fleet, gives the whole burst once.

--- a/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
+++ b/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
@@ -24,6 +24,7 @@
 
   private final TokenBucket bucket;
   private int first;
+  private boolean whole;
 
   /**
    * Creates an allowance that was not kept here before.
@@ -45,6 +46,17 @@
     bucket.resize(part(whole, lent), now * NANOSECONDS_PER_MILLISECOND);
   }
 
+  /**
+   * Gives the rest of the burst, once: the whole fleet has just started, so that no earlier keeper
+   * has given any of it out while it was down.
+   */
+  public void fillAfterRestart(Allowance allowance) {
+    if (!whole) {
+      whole = true;
+      first += (int) (allowance.burst() * (1 - FIRST_TOKENS));
+    }
+  }
+
   /** Takes tokens; returns how many were taken. */
   public int take(int count, long now) {
     int taken = bucket.take(count, now * NANOSECONDS_PER_MILLISECOND);
--- a/core/src/test/java/org/toucanmast/core/quota/KeptAllowanceTest.java
+++ b/core/src/test/java/org/toucanmast/core/quota/KeptAllowanceTest.java
@@ -55,4 +55,13 @@
       assertThat(sum).isLessThanOrEqualTo((int) ((100 * 5 + 100) * 1.1 + 20));
     }
   }
+
+  @Test
+  void should_have_the_whole_burst_once_after_a_restart_of_the_fleet() {
+    KeptAllowance kept = new KeptAllowance(WHOLE, 1.0 / 7, 0);
+    kept.fillAfterRestart(WHOLE);
+    kept.fillAfterRestart(WHOLE);
+
+    assertThat(kept.take(500, 0)).isBetween(95, 101);
+  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -32,9 +32,12 @@
   /** A VM lends its part for this long after a pulse that says so; some pulses may be lost. */
   private static final long LENT_FOR_IN_MILLISECONDS = 500;
 
+  /** VMs that run for less than this count as just started; a kill of all takes a second or two. */
+  private static final long RESTART_IN_MILLISECONDS = 4_000;
+
   private record Waiting(Runnable onAdmitted, Runnable onRefused) {}
 
-  private record Loan(int lots, long at) {}
+  private record Loan(int lots, long startedAt, long at) {}
 
   private final Vertx vertx;
   private final VmClock clock;
@@ -46,6 +49,7 @@
   private final Map<String, Loan> loans = new HashMap<>();
   private final Map<String, AskBatcher<Waiting>> askers = new HashMap<>();
   private Set<String> members = Set.of();
+  private final long startedAt;
   private boolean asking;
 
   QuotaDesk(Vertx vertx, VmClock clock, String vm, FleetLinks links) {
@@ -53,6 +57,7 @@
     this.clock = clock;
     this.vm = vm;
     this.links = links;
+    this.startedAt = clock.now();
     java.util.Arrays.fill(keepers, vm);
   }
 
@@ -109,9 +114,20 @@
     KeptAllowance known =
         kept.computeIfAbsent(customer, any -> new KeptAllowance(allowance, lent, now));
     known.resize(allowance, lent, now);
+    if (hasFleetRestarted(now)) {
+      known.fillAfterRestart(allowance);
+    }
     return known;
   }
 
+  /** Returns whether this VM and all that it hears of, at least half of the fleet, are new. */
+  private boolean hasFleetRestarted(long now) {
+    return now - startedAt < RESTART_IN_MILLISECONDS
+        && (loans.size() + 1) * 2 > members.size()
+        && loans.values().stream()
+            .allMatch(loan -> now - loan.startedAt() < RESTART_IN_MILLISECONDS);
+  }
+
   /** Asks for one operation of a customer; one of the two is called, perhaps at once. */
   void admit(Customer customer, Runnable onAdmitted, Runnable onRefused) {
     long now = clock.now();
@@ -218,8 +234,18 @@
     return lots;
   }
 
-  /** Takes the lots for which a VM asks this one. */
-  void onLent(String sender, int lots) {
-    loans.put(sender, new Loan(lots, clock.now()));
+  /**
+   * Takes the lots for which a VM asks this one.
+   *
+   * @param uptime how long the VM's process runs, in milliseconds
+   */
+  void onLent(String sender, int lots, long uptime) {
+    long now = clock.now();
+    loans.put(sender, new Loan(lots, now - uptime, now));
+  }
+
+  /** Returns how long this VM's process runs, in milliseconds. */
+  long uptime() {
+    return clock.now() - startedAt;
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -297,7 +297,10 @@
   @Override
   public FleetPulse pulseFor(String vm) {
     FleetPulse.Builder pulse =
-        FleetPulse.newBuilder().setLeaving(leaving).setLentLots(quota.lentTo(vm));
+        FleetPulse.newBuilder()
+            .setLeaving(leaving)
+            .setLentLots(quota.lentTo(vm))
+            .setUptimeInMilliseconds(quota.uptime());
     mirrors.forEach(
         (kind, mirror) ->
             pulse.addMirrors(
@@ -307,7 +310,7 @@
 
   @Override
   public void onPulse(String vm, FleetPulse pulse) {
-    quota.onLent(vm, pulse.getLentLots());
+    quota.onLent(vm, pulse.getLentLots(), pulse.getUptimeInMilliseconds());
     for (MirrorState state : pulse.getMirrorsList()) {
       KindMirror mirror = mirrors.get(state.getKind());
       if (mirror != null && state.getChangedAt() > mirror.changedAt() && mayPull(mirror, state)) {
--- /dev/null
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
@@ -0,0 +1,86 @@
+package org.toucanmast.runtime.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.toucanmast.core.group.Position;
+import org.toucanmast.core.statement.Access;
+import org.toucanmast.core.statement.Operation;
+import org.toucanmast.core.statement.PreparedShape;
+import org.toucanmast.core.statement.ResultCode;
+import org.toucanmast.core.statement.RouteKind;
+import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.StatementResult;
+import org.toucanmast.schema.FleetFrame;
+import org.toucanmast.schema.FleetHello;
+
+class FrameReaderTest {
+  private static FleetFrame frame(int number) {
+    return FleetFrame.newBuilder()
+        .setHello(FleetHello.newBuilder().setVm("vm-" + number).setIncarnation(number))
+        .build();
+  }
+
+  @Test
+  void should_give_the_same_frames_however_the_bytes_are_cut()
+      throws InvalidProtocolBufferException {
+    Random random = new Random(20261204);
+    Buffer all = Buffer.buffer();
+    List<FleetFrame> sent = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      sent.add(frame(i));
+      all.appendBuffer(FrameReader.encode(frame(i)));
+    }
+    FrameReader reader = new FrameReader();
+    List<FleetFrame> read = new ArrayList<>();
+    for (int start = 0; start < all.length(); ) {
+      int end = Math.min(all.length(), start + 1 + random.nextInt(40));
+      read.addAll(reader.feed(all.getBuffer(start, end)));
+      start = end;
+    }
+
+    assertThat(read).isEqualTo(sent);
+  }
+
+  @Test
+  void should_refuse_a_frame_that_is_too_long() {
+    assertThatThrownBy(() -> new FrameReader().feed(Buffer.buffer().appendInt(Integer.MAX_VALUE)))
+        .isInstanceOf(InvalidProtocolBufferException.class);
+  }
+
+  @Test
+  void should_carry_a_statement_and_its_result_unchanged() {
+    StatementRequest request =
+        new StatementRequest(
+            "id",
+            "group",
+            "customer",
+            Operation.TRANSACTION_WRITE,
+            "item data",
+            Optional.of(new PreparedShape(Access.WRITE, "q")),
+            Map.of("a", "b"),
+            RouteKind.READ_YOUR_WRITES,
+            2_500,
+            new Position(3, 7),
+            9,
+            false,
+            2,
+            800,
+            200);
+    StatementResult result =
+        new StatementResult(
+            ResultCode.IN_DOUBT, List.of("row"), "signature", new Position(3, 8), 9);
+
+    assertThat(StatementMessages.toRequest(StatementMessages.toCall(1, request)))
+        .isEqualTo(request);
+    assertThat(StatementMessages.toResult(StatementMessages.toAnswer(1, result))).isEqualTo(result);
+  }
+}
