Sessions begin once peers are known; nothing is sent before an endpoint accepted the connection

Change: sessions wait until the mirrors are listed and each known VM answered or failed once (700 ms at most); commands wait for the opening's reply; after a refused connection the budget is cut for 0.5 s instead of 3 s; reads wait for the primary's position; tokens of operations that did not run go back.

--- a/core/src/main/java/org/toucanmast/core/gateway/ConnectionBudget.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/ConnectionBudget.java
@@ -10,8 +10,8 @@
   /** Share of the endpoint's limit for the first gateway of a group. */
   private static final double FIRST_GATEWAY_SHARE = 0.75;
 
-  /** How long fewer connections are opened after the endpoint refused one, in milliseconds. */
-  private static final long CAUTION_IN_MILLISECONDS = 3_000;
+  /** How long no more connections are opened after the endpoint refused one, in milliseconds. */
+  private static final long CAUTION_IN_MILLISECONDS = 500;
 
   private int ceiling;
   private long cautiousUntil = Long.MIN_VALUE;
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetHost.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetHost.java
@@ -7,6 +7,7 @@
 import org.toucanmast.schema.MirrorPush;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenGrant;
+import org.toucanmast.schema.TokenReturn;
 
 /** What the rest of a VM does for the links; all calls come on the VM's thread. */
 public interface FleetHost {
@@ -25,6 +26,9 @@
   /** Answers a VM that asks for tokens of customers that this VM keeps. */
   TokenGrant onAsk(TokenAsk ask);
 
+  /** A VM gives tokens back that it did not use. */
+  void onReturn(TokenReturn unused);
+
   /** The keeper of customers' allowances answered. */
   void onGrant(String keeper, TokenGrant grant);
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -18,6 +18,7 @@
 import org.toucanmast.schema.FleetHello;
 import org.toucanmast.schema.MirrorPull;
 import org.toucanmast.schema.TokenAsk;
+import org.toucanmast.schema.TokenReturn;
 
 /** The link that this VM opened to another: statements go out, answers come back. */
 public final class FleetLink {
@@ -57,6 +58,7 @@
   private boolean dialling;
   private boolean closed;
   private boolean leaving;
+  private boolean failed;
   private boolean wasAlive;
   private long dialledAt = Long.MIN_VALUE;
   private long lastHeard = Long.MIN_VALUE;
@@ -107,6 +109,16 @@
     send(FleetFrame.newBuilder().setTokenAsk(ask).build());
   }
 
+  /** Gives tokens back. */
+  void giveBack(TokenReturn unused) {
+    send(FleetFrame.newBuilder().setTokenReturn(unused).build());
+  }
+
+  /** Returns whether the peer answered, or the first attempt to reach it failed. */
+  boolean isDecided() {
+    return wasAlive || failed;
+  }
+
   private void send(FleetFrame frame) {
     if (socket != null) {
       socket.write(FrameReader.encode(frame));
@@ -160,7 +172,11 @@
     client
         .connect(member.port(), member.host())
         .onSuccess(this::onConnected)
-        .onFailure(error -> dialling = false);
+        .onFailure(
+            error -> {
+              dialling = false;
+              failed = true;
+            });
   }
 
   private void onConnected(NetSocket connected) {
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
@@ -11,6 +11,7 @@
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.schema.FleetHello;
 import org.toucanmast.schema.TokenAsk;
+import org.toucanmast.schema.TokenReturn;
 
 /** The links of this VM to the others. */
 public final class FleetLinks {
@@ -100,6 +101,20 @@
     }
   }
 
+  /** Gives tokens back that were not used. */
+  public void giveBack(String vm, TokenReturn unused) {
+    FleetLink link = links.get(vm);
+    if (link != null) {
+      link.giveBack(unused);
+    }
+  }
+
+  /** Returns whether the link to a VM is open, or could not be opened at the first attempt. */
+  public boolean isDecided(String vm) {
+    FleetLink link = links.get(vm);
+    return link == null || link.isDecided();
+  }
+
   /** Asks a VM for what it knows of a kind of the store's objects. */
   public void pull(String vm, String kind) {
     FleetLink link = links.get(vm);
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
@@ -90,6 +90,7 @@
         }
         case TOKEN_ASK ->
             send(FleetFrame.newBuilder().setTokenGrant(host.onAsk(frame.getTokenAsk())).build());
+        case TOKEN_RETURN -> host.onReturn(frame.getTokenReturn());
         case MIRROR_PULL ->
             send(
                 FleetFrame.newBuilder()
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -24,8 +24,10 @@
 /**
  * One connection to an endpoint, opened for one customer.
  *
- * <p>Commands are answered in order. The connection knows the session values and prepared names
- * that the endpoint holds for it, so that it can be brought to those of a caller's session.
+ * <p>Commands are answered in order. None is sent before the endpoint has accepted the connection:
+ * an endpoint that refuses it may reset it, and what was sent behind would have an unknown outcome.
+ * The connection knows the session values and prepared names that the endpoint holds for it, so
+ * that it can be brought to those of a caller's session.
  */
 final class EndpointConnection {
 
@@ -65,6 +67,7 @@
   private final Set<PreparedShape> prepared = new HashSet<>();
   private final Buffer unsent = Buffer.buffer();
   private NetSocket socket;
+  private boolean opened;
   private boolean closed;
   private boolean busy;
   private long lastUsed;
@@ -75,6 +78,7 @@
       VmClock clock,
       EndpointEntry entry,
       String customer,
+      ReplyHandler opening,
       Runnable onClosed) {
     this.entry = entry;
     this.customer = customer;
@@ -82,6 +86,7 @@
     this.decoder = dialect.decoder();
     this.clock = clock;
     this.onClosed = onClosed;
+    expected.addLast(new Expected(opening, 0, clock.now()));
     client
         .connect(entry.port(), entry.host())
         .onSuccess(this::onConnected)
@@ -108,7 +113,13 @@
     socket.handler(this::onBytes);
     socket.closeHandler(done -> end(Loss.CLOSED, true));
     socket.exceptionHandler(error -> end(Loss.CLOSED, true));
-    if (unsent.length() > 0) {
+    EndpointCommand open = new EndpointCommand.Open(entry.group(), customer, entry.id());
+    socket.write(dialect.encode(open));
+  }
+
+  private void onOpened() {
+    opened = true;
+    if (unsent.length() > 0 && !closed) {
       socket.write(unsent.copy());
     }
   }
@@ -124,7 +135,7 @@
     lastUsed = now;
     if (closed) {
       failPending(Loss.CLOSED, false);
-    } else if (socket == null) {
+    } else if (!opened) {
       unsent.appendBuffer(bytes);
     } else {
       socket.write(bytes);
@@ -140,6 +151,9 @@
         }
         lastUsed = clock.now();
         next.handler().onReply(next.index(), reply);
+        if (!opened && !closed) {
+          onOpened();
+        }
       }
     } catch (DialectException e) {
       close();
@@ -220,7 +234,7 @@
       socket.close();
     }
     onClosed.run();
-    failPending(loss, sent && socket != null);
+    failPending(loss, sent && opened);
   }
 
   private void failPending(Loss loss, boolean sent) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -11,7 +11,6 @@
 import org.toucanmast.core.gateway.ConnectionBudget;
 import org.toucanmast.core.gateway.ReplicaLag;
 import org.toucanmast.core.gateway.ServiceTimes;
-import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -153,10 +152,14 @@
     EndpointConnection[] self = new EndpointConnection[1];
     self[0] =
         new EndpointConnection(
-            client, dialect, clock, entry, customer, () -> connections.remove(self[0]));
+            client,
+            dialect,
+            clock,
+            entry,
+            customer,
+            opening(self),
+            () -> connections.remove(self[0]));
     connections.add(self[0]);
-    self[0].exchange(
-        List.of(new EndpointCommand.Open(entry.group(), customer, entry.id())), opening(self));
     return Optional.of(self[0]);
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -287,6 +287,9 @@
                         ? position.maximum(request.seen())
                         : position);
     if (needed.isEmpty()) {
+      if (keeper.observeNow(now)) {
+        return false;
+      }
       handToPrimary(statement);
       return true;
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -37,6 +37,9 @@
   /** A question without an answer for this long counts as silence: many round trips. */
   private static final long SILENCE_IN_MILLISECONDS = 250;
 
+  /** Reads wait this long for the primary's position: a handshake and some round trips. */
+  private static final long OBSERVATION_WAIT_IN_MILLISECONDS = 250;
+
   /** Endpoints are asked this often while none is known to lead. */
   private static final long SEARCH_INTERVAL_IN_MILLISECONDS = 50;
 
@@ -204,6 +207,20 @@
     }
   }
 
+  /**
+   * Asks for the primary's position, when none is known that is recent enough; returns whether the
+   * answer can be waited for, instead of sending reads to the primary.
+   */
+  boolean observeNow(long now) {
+    Optional<EndpointPool> leader = leader().filter(pool -> pool.isReachable(now));
+    if (leader.isEmpty()) {
+      return false;
+    }
+    ask(leader.get(), now);
+    long askedAt = asked.getOrDefault(leader.get().entry().id(), Long.MIN_VALUE);
+    return askedAt != Long.MIN_VALUE && now - askedAt < OBSERVATION_WAIT_IN_MILLISECONDS;
+  }
+
   private void noteSilence(EndpointPool pool, long now) {
     String id = pool.entry().id();
     long askedAt = asked.getOrDefault(id, Long.MAX_VALUE);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -74,8 +74,9 @@
     }
   }
 
-  private void work() {
-    while (!busy && !ended && !waiting.isEmpty()) {
+  /** Handles what waits, one statement after the other. */
+  void work() {
+    while (context.isSettled() && !busy && !ended && !waiting.isEmpty()) {
       CallerMessage message = waiting.removeFirst();
       if (message instanceof CallerMessage.Open open) {
         open(open);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -17,6 +17,7 @@
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenCount;
 import org.toucanmast.schema.TokenGrant;
+import org.toucanmast.schema.TokenReturn;
 
 /**
  * The customers' allowances: asks their keepers for a token for each operation, and answers for the
@@ -48,6 +49,7 @@
   private final String[] keepers = new String[LOTS];
   private final Map<String, Loan> loans = new HashMap<>();
   private final Map<String, AskBatcher<Waiting>> askers = new HashMap<>();
+  private final Map<String, Map<String, Integer>> unused = new HashMap<>();
   private Set<String> members = Set.of();
   private final long startedAt;
   private boolean asking;
@@ -144,14 +146,23 @@
             new Waiting(onAdmitted, onRefused),
             now,
             now + ASK_LIFE_IN_MILLISECONDS);
+    sendSoon();
+  }
+
+  private void sendSoon() {
     if (!asking) {
       asking = true;
-      vertx.runOnContext(later -> askAll());
+      vertx.runOnContext(later -> sendAll());
     }
   }
 
-  private void askAll() {
+  private void sendAll() {
     asking = false;
+    unused.forEach(
+        (keeper, tokens) ->
+            links.giveBack(
+                keeper, TokenReturn.newBuilder().addAllReturned(counts(tokens)).build()));
+    unused.clear();
     long now = clock.now();
     askers.forEach(
         (keeper, asker) -> {
@@ -206,11 +217,28 @@
     refused.forEach(item -> item.onRefused().run());
   }
 
-  /** Gives back the token of an operation that did not run, if it is kept here. */
+  /** Gives back the token of an operation that did not run. */
   void putBack(Customer customer) {
-    KeptAllowance known = kept.get(customer.name());
-    if (known != null && keepers[lot(customer.name())].equals(vm)) {
-      known.putBack(1, clock.now());
+    String keeper = keepers[lot(customer.name())];
+    if (keeper.equals(vm)) {
+      onReturned(customer.name(), 1);
+    } else {
+      unused
+          .computeIfAbsent(keeper, any -> new HashMap<>())
+          .merge(customer.name(), 1, Integer::sum);
+      sendSoon();
+    }
+  }
+
+  /** Takes tokens back that another VM did not use. */
+  void onReturn(TokenReturn returned) {
+    returned.getReturnedList().forEach(item -> onReturned(item.getCustomer(), item.getCount()));
+  }
+
+  private void onReturned(String customer, int count) {
+    KeptAllowance known = kept.get(customer);
+    if (known != null) {
+      known.putBack(count, clock.now());
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
@@ -14,6 +14,7 @@
   private final QuotaDesk quota;
   private final SessionMetrics metrics;
   private Catalog catalog = Catalog.EMPTY;
+  private boolean settled;
   private boolean stopping;
 
   SessionContext(
@@ -63,6 +64,15 @@
     catalog = newer;
   }
 
+  /** Returns whether sessions may begin. */
+  boolean isSettled() {
+    return settled;
+  }
+
+  void setSettled() {
+    settled = true;
+  }
+
   boolean isStopping() {
     return stopping;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -38,6 +38,7 @@
 import org.toucanmast.schema.MirrorState;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenGrant;
+import org.toucanmast.schema.TokenReturn;
 
 /**
  * A VM that serves sessions: its listeners, its gateways, and what it follows in the store.
@@ -70,6 +71,11 @@
   /** Part of the grace period after which the process ends in any case. */
   private static final double LAST_MOMENT = 0.85;
 
+  private static final long SETTLE_CHECK_INTERVAL_IN_MILLISECONDS = 10;
+
+  /** Sessions begin after this in any case: callers give up an opening after two seconds. */
+  private static final long SETTLED_AFTER_IN_MILLISECONDS = 700;
+
   private static final long STOP_CHECK_INTERVAL_IN_MILLISECONDS = 50;
 
   private final Vertx vertx;
@@ -86,6 +92,7 @@
   private final Map<String, KindMirror> mirrors = new HashMap<>();
   private final Set<CallerSession> open = new HashSet<>();
   private boolean leaving;
+  private long startedAt;
 
   /** What the VM is built on. */
   public record Ports(
@@ -218,7 +225,9 @@
   /** Opens the listeners and begins to follow the store. */
   public Future<?> start() {
     onReachabilityChanged();
+    startedAt = clock.now();
     mirrors.values().forEach(KindMirror::start);
+    settle();
     vertx.setPeriodic(SWEEP_INTERVAL_IN_MILLISECONDS, fired -> gateways.sweep());
     vertx.setPeriodic(FleetLinks.PULSE_INTERVAL_IN_MILLISECONDS, fired -> onPulseTime());
     vertx.setPeriodic(REAP_INTERVAL_IN_MILLISECONDS, fired -> registry.reap(isReaper()));
@@ -239,6 +248,24 @@
     open.add(self[0]);
   }
 
+  /**
+   * Lets sessions begin once this VM knows the configuration, the endpoints and which of the other
+   * VMs answer. Before that it would take itself for the gateway of every group and use up the
+   * endpoints' connections.
+   */
+  private void settle() {
+    boolean followed = mirrors.values().stream().allMatch(KindMirror::isListed);
+    boolean decided = registry.members().keySet().stream().allMatch(links::isDecided);
+    boolean waitedEnough = clock.now() - startedAt > SETTLED_AFTER_IN_MILLISECONDS;
+    if (followed && decided || sessions.catalog().isLoaded() && waitedEnough) {
+      log.log(EventKind.PROCESS, "settled", "followed", followed, "decided", decided);
+      sessions.setSettled();
+      List.copyOf(open).forEach(CallerSession::work);
+    } else {
+      vertx.setTimer(SETTLE_CHECK_INTERVAL_IN_MILLISECONDS, fired -> settle());
+    }
+  }
+
   private void onPulseTime() {
     quota.tick();
     links.tick();
@@ -289,6 +316,11 @@
     return quota.onAsk(ask);
   }
 
+  @Override
+  public void onReturn(TokenReturn unused) {
+    quota.onReturn(unused);
+  }
+
   @Override
   public void onGrant(String keeper, TokenGrant grant) {
     quota.onGrant(keeper, grant);
@@ -363,7 +395,7 @@
 
   /** Returns whether new sessions should come here. */
   public boolean isReady() {
-    return sessions.catalog().isLoaded() && gateways.hasEndpoints() && !leaving;
+    return sessions.isSettled() && gateways.hasEndpoints() && !leaving;
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -95,6 +95,11 @@
     return available;
   }
 
+  /** Returns whether all objects have been seen once, from the store or from a peer. */
+  public boolean isListed() {
+    return changedAt >= 0 || revision >= 0;
+  }
+
   /** Returns when the store last confirmed what is known here, on the steady clock. */
   public long confirmedAt() {
     return confirmedAt;
