Mirrors agree on the last change of their kind

A VM that listed a kind took the newest object's revision as its last change, one that watched took the store's; the two never agreed, so the configuration was pulled at every pulse. Change: the last change is the newest revision of an object of the kind, also after taking a peer's; pulls of a kind keep 300 ms between them.

--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -49,6 +49,9 @@
   /** Between two looks at what runs and waits. */
   private static final long SWEEP_INTERVAL_IN_MILLISECONDS = 25;
 
+  /** Between two questions to peers for what the store told them; an answer may be large. */
+  private static final long PULL_INTERVAL_IN_MILLISECONDS = 300;
+
   /** Between two looks at which VMs are gone for good. */
   private static final long REAP_INTERVAL_IN_MILLISECONDS = 5_000;
 
@@ -90,6 +93,7 @@
   private final FleetLinks links;
   private final FleetRegistry registry;
   private final Map<String, KindMirror> mirrors = new HashMap<>();
+  private final Map<String, Long> pulledAt = new HashMap<>();
   private final Set<CallerSession> open = new HashSet<>();
   private boolean leaving;
   private long startedAt;
@@ -346,13 +350,16 @@
     for (MirrorState state : pulse.getMirrorsList()) {
       KindMirror mirror = mirrors.get(state.getKind());
       if (mirror != null && state.getChangedAt() > mirror.changedAt() && mayPull(mirror, state)) {
+        pulledAt.put(state.getKind(), clock.now());
         links.pull(vm, state.getKind());
       }
     }
   }
 
   private boolean mayPull(KindMirror mirror, MirrorState state) {
-    return !mirror.isAvailable() || state.getKind().equals(model.configurationKind());
+    Long last = pulledAt.get(state.getKind());
+    boolean recent = last != null && clock.now() - last < PULL_INTERVAL_IN_MILLISECONDS;
+    return !recent && (!mirror.isAvailable() || state.getKind().equals(model.configurationKind()));
   }
 
   @Override
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -159,11 +159,14 @@
       all.forEach(this::apply);
     } else {
       replaceAll(all);
-      changedAt = otherChangedAt;
     }
+    changedAt = Math.max(changedAt, otherChangedAt);
   }
 
-  /** Returns the store's revision of the last change seen; -1 before the first. */
+  /**
+   * Returns the store's revision of the last change of an object of this kind, -1 before the first;
+   * two VMs that saw the same changes return the same.
+   */
   public long changedAt() {
     return changedAt;
   }
@@ -186,6 +189,7 @@
   private void onChanges(ObjectStore.Changes changes) {
     confirmed();
     for (ObjectStore.Change change : changes.changes()) {
+      changedAt = Math.max(changedAt, change.object().revision());
       if (change.deleted()) {
         if (objects.remove(change.object().name()) != null) {
           listener.onGone(change.object().name());
@@ -195,9 +199,6 @@
       }
     }
     revision = Math.max(revision, changes.revision());
-    if (!changes.changes().isEmpty()) {
-      changedAt = Math.max(changedAt, revision);
-    }
     if (changes.changes().isEmpty()) {
       watch();
     } else {
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -97,4 +97,22 @@
 
     assertThat(seen).containsExactly("+a", "+b");
   }
+
+  @Test
+  void should_agree_on_the_last_change_with_a_mirror_that_listed_later() {
+    mirror.start();
+    StoredObject changed = new StoredObject("a", 50, new JsonObject());
+    store.lastWatch().complete(new Changes(List.of(new Change(changed, false)), 57));
+
+    assertThat(mirror.changedAt()).isEqualTo(50);
+  }
+
+  @Test
+  void should_not_stay_behind_a_peer_from_which_it_took_everything() {
+    store.put("kind", "a", new JsonObject());
+    mirror.start();
+    mirror.adopt(90, List.of());
+
+    assertThat(mirror.changedAt()).isEqualTo(90);
+  }
 }
