--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -65,7 +65,7 @@
   private final Map<Long, OpenTransaction> transactions = new HashMap<>();
   private final LeaderKeeper keeper;
   private PendingStatement nextRead;
-  private long lastActive = Long.MIN_VALUE;
+  private long lastActive = Long.MIN_VALUE / 2;
   private boolean pumping;
 
   /** Creates a gateway without endpoints. */
