Outages that last are refused at once; fewer connections to replicas

Change: once an outage has lasted longer than a usual change, it is expected to last as long again; the gateway holds 0.75 of a primary's connections and half of a replica's; admission counts the slots that connections allow.

--- a/core/src/main/java/org/toucanmast/core/gateway/ConnectionBudget.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/ConnectionBudget.java
@@ -7,13 +7,16 @@
  * failed, which the endpoint keeps for some seconds, and for the VMs that read there meanwhile.
  */
 public final class ConnectionBudget {
-  /** Share of the endpoint's limit for the first gateway of a group. */
-  private static final double FIRST_GATEWAY_SHARE = 0.75;
+  /** Share of a primary's limit: transactions that write keep their connections there. */
+  private static final double PRIMARY_SHARE = 0.75;
+
+  /** Share of a replica's limit. */
+  private static final double REPLICA_SHARE = 0.5;
 
   /** How long no more connections are opened after the endpoint refused one, in milliseconds. */
   private static final long CAUTION_IN_MILLISECONDS = 500;
 
-  private int ceiling;
+  private int maximumConnections;
   private long cautiousUntil = Long.MIN_VALUE;
   private int cautiousCeiling;
 
@@ -23,12 +26,12 @@
    * @param maximumConnections the endpoint's limit over all VMs
    */
   public ConnectionBudget(int maximumConnections) {
-    resize(maximumConnections);
+    this.maximumConnections = maximumConnections;
   }
 
   /** Changes the endpoint's limit. */
-  public void resize(int maximumConnections) {
-    ceiling = Math.max(1, (int) (maximumConnections * FIRST_GATEWAY_SHARE));
+  public void resize(int newMaximumConnections) {
+    maximumConnections = newMaximumConnections;
   }
 
   /** Notes that the endpoint refused a connection while the given number was open. */
@@ -37,8 +40,14 @@
     cautiousUntil = now + CAUTION_IN_MILLISECONDS;
   }
 
-  /** Returns the most connections to hold. */
-  public int limit(long now) {
+  /**
+   * Returns the most connections to hold.
+   *
+   * @param leads whether the endpoint leads its group
+   */
+  public int limit(boolean leads, long now) {
+    double share = leads ? PRIMARY_SHARE : REPLICA_SHARE;
+    int ceiling = Math.max(1, (int) (maximumConnections * share));
     return now < cautiousUntil ? Math.min(ceiling, cautiousCeiling) : ceiling;
   }
 }
--- a/core/src/test/java/org/toucanmast/core/gateway/ConnectionBudgetTest.java
+++ b/core/src/test/java/org/toucanmast/core/gateway/ConnectionBudgetTest.java
@@ -7,12 +7,12 @@
 class ConnectionBudgetTest {
   @Test
   void should_leave_room_for_the_connections_of_a_gateway_that_has_just_failed() {
-    assertThat(new ConnectionBudget(21).limit(0)).isLessThan(21).isGreaterThan(10);
+    assertThat(new ConnectionBudget(21).limit(true, 0)).isLessThan(21).isGreaterThan(10);
   }
 
   @Test
   void should_never_be_without_any_connection() {
-    assertThat(new ConnectionBudget(1).limit(0)).isEqualTo(1);
+    assertThat(new ConnectionBudget(1).limit(true, 0)).isEqualTo(1);
   }
 
   @Test
@@ -21,7 +21,14 @@
 
     budget.refused(7, 1_000);
 
-    assertThat(budget.limit(1_000)).isEqualTo(7);
-    assertThat(budget.limit(10_000)).isEqualTo(15);
+    assertThat(budget.limit(true, 1_000)).isEqualTo(7);
+    assertThat(budget.limit(true, 10_000)).isEqualTo(15);
+  }
+
+  @Test
+  void should_hold_more_connections_to_a_primary_than_to_a_replica() {
+    ConnectionBudget budget = new ConnectionBudget(20);
+
+    assertThat(budget.limit(true, 0)).isGreaterThan(budget.limit(false, 0));
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -45,6 +45,7 @@
   private final ConnectionBudget budget;
   private EndpointEntry entry;
   private boolean takenOut;
+  private boolean leads;
   private int running;
   private long avoidedUntil = Long.MIN_VALUE;
   private long pause = FIRST_PAUSE_IN_MILLISECONDS;
@@ -76,6 +77,11 @@
     }
   }
 
+  /** Notes whether the endpoint leads its group, as far as is known. */
+  void setLeads(boolean nowLeads) {
+    leads = nowLeads;
+  }
+
   void setTakenOut(boolean nowTakenOut) {
     takenOut = nowTakenOut;
   }
@@ -103,8 +109,13 @@
     return running < entry.slots() + STATEMENTS_BEYOND_SLOTS;
   }
 
+  /** Returns how many statements can run at once with the connections that may be held. */
+  int usableSlots(long now) {
+    return Math.min(entry.slots(), budget.limit(leads, now));
+  }
+
   private boolean hasConnection(long now) {
-    return connections.size() < budget.limit(now)
+    return connections.size() < budget.limit(leads, now)
         || connections.stream().anyMatch(connection -> !connection.isBusy());
   }
 
@@ -145,7 +156,7 @@
   }
 
   private Optional<EndpointConnection> open(String customer) {
-    if (connections.size() >= budget.limit(clock.now()) && !evict()) {
+    if (connections.size() >= budget.limit(leads, clock.now()) && !evict()) {
       return Optional.empty();
     }
     opened++;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -147,6 +147,7 @@
   }
 
   private boolean admits(PendingStatement statement) {
+    long now = context.clock().now();
     StatementRequest request = statement.request();
     WorkQueue<PendingStatement> queue = queueOf(statement);
     int slots = 0;
@@ -158,8 +159,8 @@
       if (!pool.mayWork() && !leader || statement.needsPrimary() && !leader) {
         continue;
       }
-      slots += pool.entry().slots();
-      free += pool.hasSlot() ? 1 : 0;
+      slots += pool.usableSlots(now);
+      free += pool.canStart(now) ? 1 : 0;
       service += pool.serviceTimes().mean();
       counted++;
     }
@@ -168,7 +169,6 @@
       counted = 1;
     }
     double mean = service / counted;
-    long now = context.clock().now();
     int ahead = queue.aheadOf(request.priority(), request.customer());
     double wait =
         Admission.expectedWait(
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.failover.LeaderBelief;
+import org.toucanmast.core.failover.Outage;
 import org.toucanmast.core.failover.Succession;
 import org.toucanmast.core.freshness.PositionHistory;
 import org.toucanmast.core.group.Position;
@@ -71,6 +72,7 @@
   private final List<Succession.Candidate> candidates = new ArrayList<>();
   private Optional<String> lastLeader = Optional.empty();
   private long leaderlessSince = Long.MAX_VALUE;
+  private long outageSince = Long.MAX_VALUE;
   private long canvassSince = Long.MAX_VALUE;
   private long quietUntil = Long.MIN_VALUE;
   private long orderedAt = Long.MAX_VALUE;
@@ -115,12 +117,13 @@
    * there.
    */
   double expectedOutage(long now) {
-    Optional<EndpointPool> leader = leader();
-    if (leader.isPresent() && leader.get().isReachable(now)) {
-      return 0;
-    }
-    long since = orderedAt == Long.MAX_VALUE ? now : orderedAt;
-    return Math.max(SEARCH_INTERVAL_IN_MILLISECONDS, changeTime - (now - since));
+    noteOutage(now);
+    return outageSince == Long.MAX_VALUE ? 0 : Outage.remaining(now - outageSince, changeTime);
+  }
+
+  private void noteOutage(long now) {
+    boolean reachable = leader().filter(pool -> pool.isReachable(now)).isPresent();
+    outageSince = reachable ? Long.MAX_VALUE : Math.min(outageSince, now);
   }
 
   /**
@@ -150,6 +153,7 @@
     }
     long now = context.clock().now();
     lastLeader = leader;
+    pools.forEach((id, pool) -> pool.setLeads(leader.filter(id::equals).isPresent()));
     leaderlessSince = leader.isPresent() ? Long.MAX_VALUE : now;
     if (leader.isPresent() && orderedAt != Long.MAX_VALUE) {
       changeTime += CHANGE_GAIN * (now - orderedAt - changeTime);
@@ -175,6 +179,7 @@
    * @param waiting whether statements wait for a primary
    */
   void sweep(long now, boolean active, boolean waiting) {
+    noteOutage(now);
     Optional<EndpointPool> leader = leader();
     if (leader.isPresent()) {
       if (active || waiting) {
