A leaving primary is replaced in time although its gateways stop in turn; gateway split into its duties

Canvassing gave up after 150 ms on VMs that had just started. Change: a holder notes in the store that it has ordered, and only then the next one waits; a leaving primary gets statements for 4 s at most (less when it was leaving at first sight); the first candidate may take 600 ms to answer. GroupGateway is split into queues, placement, outcomes and open transactions, the caller's session into session and writer; no behaviour in that part. EndpointPoolTest and a test of PromotionDesk failed before.

--- a/core/src/main/java/org/toucanmast/core/statement/StatementResult.java
+++ b/core/src/main/java/org/toucanmast/core/statement/StatementResult.java
@@ -26,6 +26,18 @@
         code, List.of(), reason, Position.NONE, StatementRequest.NO_TRANSACTION);
   }
 
+  /** Returns a success that no endpoint was asked for. */
+  public static StatementResult done() {
+    return new StatementResult(
+        ResultCode.SUCCESS, List.of(), "", Position.NONE, StatementRequest.NO_TRANSACTION);
+  }
+
+  /** Returns what an endpoint replied. */
+  public static StatementResult of(EndpointReply reply, long transaction) {
+    return new StatementResult(
+        reply.code(), reply.rows(), reply.text(), reply.position(), transaction);
+  }
+
   /** Returns whether the statement ran and its answer is whole. */
   public boolean isSuccess() {
     return code == ResultCode.SUCCESS;
--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 
@@ -51,7 +52,7 @@
     long now = System.currentTimeMillis();
     if (now / SECOND_IN_MILLISECONDS != second) {
       second = now / SECOND_IN_MILLISECONDS;
-      java.util.Arrays.fill(used, 0);
+      Arrays.fill(used, 0);
     }
     int index = kind.ordinal();
     if (used[index]++ >= kind.linesPerSecond()) {
@@ -74,8 +75,8 @@
       line.writeStringField("vm", vm);
       line.writeStringField("kind", kind.name());
       line.writeStringField("event", what);
-      for (int i = 0; i + 1 < fields.length; i += 2) {
-        writeField(line, String.valueOf(fields[i]), fields[i + 1]);
+      for (int index = 0; index + 1 < fields.length; index += 2) {
+        writeField(line, String.valueOf(fields[index]), fields[index + 1]);
       }
       if (leftOut[kind.ordinal()] > 0) {
         line.writeNumberField("left_out", leftOut[kind.ordinal()]);
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -34,6 +34,15 @@
   /** Pause after the endpoint was found to be another one than its entry says. */
   private static final long WRONG_ENDPOINT_PAUSE_IN_MILLISECONDS = 1_000;
 
+  /**
+   * A primary that leaves, or whose data centre is taken out, is used this long until another one
+   * leads; below the times after which the platform's users expect no more work there.
+   */
+  private static final long LEAVING_PRIMARY_USED_FOR_IN_MILLISECONDS = 4_000;
+
+  /** An endpoint that was leaving already when it was first seen may have done so for a while. */
+  private static final long LEAVING_BEFORE_IT_WAS_SEEN_IN_MILLISECONDS = 1_500;
+
   private final NetClient client;
   private final EndpointDialect dialect;
   private final VmClock clock;
@@ -46,6 +55,7 @@
   private EndpointEntry entry;
   private boolean takenOut;
   private boolean leads;
+  private long leavingSince;
   private int running;
   private long avoidedUntil = Long.MIN_VALUE;
   private long pause = FIRST_PAUSE_IN_MILLISECONDS;
@@ -64,12 +74,17 @@
     this.log = log;
     this.entry = entry;
     this.budget = new ConnectionBudget(maximumConnections);
+    this.leavingSince =
+        entry.draining()
+            ? clock.now() - LEAVING_BEFORE_IT_WAS_SEEN_IN_MILLISECONDS
+            : Long.MAX_VALUE;
   }
 
   /** Takes a newer entry of the same endpoint; connections to an earlier run are closed. */
   void update(EndpointEntry newer) {
     boolean sameRun = entry.isSameRun(newer);
     entry = newer;
+    noteLeaving();
     if (!sameRun) {
       List.copyOf(connections).forEach(EndpointConnection::close);
       lag.reset();
@@ -84,6 +99,16 @@
 
   void setTakenOut(boolean nowTakenOut) {
     takenOut = nowTakenOut;
+    noteLeaving();
+  }
+
+  private void noteLeaving() {
+    leavingSince = mayWork() ? Long.MAX_VALUE : Math.min(leavingSince, clock.now());
+  }
+
+  /** Returns whether statements that need the primary may still be sent here, if it leads. */
+  boolean mayLead(long now) {
+    return mayWork() || now - leavingSince < LEAVING_PRIMARY_USED_FOR_IN_MILLISECONDS;
   }
 
   void setMaximumConnections(int maximumConnections) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -50,6 +50,9 @@
   /** How long endpoints are asked for their positions before one is chosen. */
   private static final long CANVASS_IN_MILLISECONDS = 150;
 
+  /** How long the first of them may take to answer: a handshake on a VM that has just started. */
+  private static final long LONGEST_CANVASS_IN_MILLISECONDS = 600;
+
   /** An order that shows no effect for this long is given again. */
   private static final long ORDER_EFFECT_IN_MILLISECONDS = 2_500;
 
@@ -122,7 +125,8 @@
   }
 
   private void noteOutage(long now) {
-    boolean reachable = leader().filter(pool -> pool.isReachable(now)).isPresent();
+    boolean reachable =
+        leader().filter(pool -> pool.isReachable(now) && pool.mayLead(now)).isPresent();
     outageSince = reachable ? Long.MAX_VALUE : Math.min(outageSince, now);
   }
 
@@ -321,7 +325,8 @@
       return;
     }
     boolean everybody = candidates.size() >= pools.size() - (leader.isPresent() ? 1 : 0);
-    if (!everybody && now - canvassSince < CANVASS_IN_MILLISECONDS) {
+    long wait = candidates.isEmpty() ? LONGEST_CANVASS_IN_MILLISECONDS : CANVASS_IN_MILLISECONDS;
+    if (!everybody && now - canvassSince < wait) {
       return;
     }
     canvassSince = Long.MAX_VALUE;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 
@@ -91,6 +92,11 @@
     return done;
   }
 
+  /** Ends the statement without an answer of an endpoint. */
+  void refuse(ResultCode code, String reason) {
+    finish(StatementResult.failure(code, reason));
+  }
+
   void finish(StatementResult result) {
     if (!done) {
       done = true;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
@@ -3,7 +3,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -17,8 +19,8 @@
  *
  * <p>For each group an object in the store names the VM that may order; the revision of its last
  * change is the token. The token is taken in calm times, so that a promotion needs no store. A
- * token that was refused, or whose order has no known outcome, is not used again. A VM that takes
- * the duty over from another one that may still live orders nothing for the time of a lease.
+ * token that was refused, or whose order has no known outcome, is not used again. A holder notes in
+ * the object that it has ordered; whoever takes the duty over from it orders nothing for a lease.
  */
 public final class PromotionDesk {
   /** The kind of the objects that name the holders. */
@@ -27,11 +29,15 @@
   /** Two holders do not order within this time of each other, in milliseconds. */
   private static final long LEASE_IN_MILLISECONDS = 3_500;
 
+  /** Attempts to note an order; each takes as long as a call to the store may. */
+  private static final int MOST_NOTES = 3;
+
   /** Between two attempts to take the duty in calm times, in milliseconds. */
   private static final long PREPARE_AGAIN_IN_MILLISECONDS = 1_000;
 
   private static final String HOLDER = "holder";
   private static final String COUNT = "count";
+  private static final String ORDERED = "ordered";
 
   private final ObjectStore store;
   private final PromotionOrders orders;
@@ -41,6 +47,7 @@
   private final Map<String, Token> tokens = new HashMap<>();
   private final Map<String, Future<Token>> taking = new HashMap<>();
   private final Map<String, Long> preparedAt = new HashMap<>();
+  private final Set<Long> noted = new HashSet<>();
   private long count;
 
   /**
@@ -119,8 +126,10 @@
   }
 
   private Token takenFrom(StoredObject before, StoredObject taken) {
-    boolean own = before.content() != null && vm.equals(before.content().getString(HOLDER));
-    long wait = own ? 0 : LEASE_IN_MILLISECONDS;
+    JsonObject earlier = before.content() == null ? new JsonObject() : before.content();
+    boolean own = vm.equals(earlier.getString(HOLDER));
+    boolean hasOrdered = earlier.getBoolean(ORDERED, true);
+    long wait = own || !hasOrdered ? 0 : LEASE_IN_MILLISECONDS;
     return new Token(taken.revision(), clock.now() + wait);
   }
 
@@ -131,7 +140,31 @@
 
   private JsonObject content() {
     count++;
-    return new JsonObject().put(HOLDER, vm).put(COUNT, vm + "-" + count);
+    return new JsonObject().put(HOLDER, vm).put(COUNT, vm + "-" + count).put(ORDERED, false);
+  }
+
+  /** Notes in the store that this holder has ordered, so that the next one waits for a lease. */
+  private void noteOrdered(String group, Token token, int attempt) {
+    store
+        .replace(KIND, group, content().put(ORDERED, true), token.value())
+        .onFailure(
+            error -> {
+              boolean taken =
+                  error instanceof StoreException failure
+                      && failure.reason() == StoreException.Reason.CONFLICT;
+              log.log(
+                  EventKind.PROMOTION,
+                  "order not noted",
+                  "group",
+                  group,
+                  "attempt",
+                  attempt,
+                  "reason",
+                  error.getMessage());
+              if (!taken && attempt < MOST_NOTES) {
+                noteOrdered(group, token, attempt + 1);
+              }
+            });
   }
 
   /** Orders that an endpoint leads its group. */
@@ -150,6 +183,9 @@
     if (clock.now() < token.usableFrom()) {
       return Future.succeededFuture(PromotionOrders.Outcome.UNAVAILABLE);
     }
+    if (noted.add(token.value())) {
+      noteOrdered(group, token, 1);
+    }
     return orders
         .promote(group, endpointId, vm, token.value())
         .onSuccess(
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/ReadPlacement.java
@@ -0,0 +1,104 @@
+package org.toucanmast.runtime.gateway;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanmast.core.freshness.PositionHistory;
+import org.toucanmast.core.group.Position;
+import org.toucanmast.core.statement.RouteKind;
+import org.toucanmast.core.statement.StatementRequest;
+
+/**
+ * Where a read runs that any endpoint with a log that is recent enough may serve.
+ *
+ * <p>Answers the load pattern of many reads beside few writes: reads spread over the replicas by
+ * how full they are, prefer open connections, and leave the primary's slots to writes.
+ */
+final class ReadPlacement {
+  /** Opening a connection takes about a third of a slot for the time of a statement. */
+  private static final double COST_OF_NEW_CONNECTION = 0.3;
+
+  /** Reads leave the primary's slots to writes while a replica is no fuller than this. */
+  private static final double COST_OF_PRIMARY = 0.6;
+
+  /** What is to be done with a read. */
+  enum Kind {
+    /** Run it at an endpoint. */
+    RUN,
+    /** Let it wait: endpoints that hold the data are full, or the position is being asked for. */
+    WAIT,
+    /** Only the primary holds what it needs. */
+    PRIMARY
+  }
+
+  /**
+   * A decision.
+   *
+   * @param pool where to run it, if it runs
+   * @param after the position that the log must hold, if it runs
+   */
+  record Decision(Kind kind, Optional<EndpointPool> pool, Optional<Position> after) {
+    private static Decision of(Kind kind) {
+      return new Decision(kind, Optional.empty(), Optional.empty());
+    }
+  }
+
+  private final Map<String, EndpointPool> pools;
+  private final PositionHistory history;
+  private final LeaderKeeper keeper;
+
+  ReadPlacement(Map<String, EndpointPool> pools, PositionHistory history, LeaderKeeper keeper) {
+    this.pools = pools;
+    this.history = history;
+    this.keeper = keeper;
+  }
+
+  /** Decides about a read. */
+  Decision decide(PendingStatement statement, long now) {
+    StatementRequest request = statement.request();
+    Optional<Position> needed = needed(request, now);
+    if (needed.isEmpty()) {
+      return Decision.of(keeper.observeNow(now) ? Kind.WAIT : Kind.PRIMARY);
+    }
+    List<EndpointPool> holding =
+        pools.values().stream()
+            .filter(pool -> pool.mayWork() && pool.isReachable(now))
+            .filter(pool -> !statement.hasTried(pool.entry().id()))
+            .filter(pool -> probablyHolds(pool, needed.get(), now))
+            .toList();
+    if (holding.isEmpty()) {
+      return Decision.of(Kind.PRIMARY);
+    }
+    return holding.stream()
+        .filter(pool -> pool.canStart(now))
+        .min(Comparator.comparingDouble(pool -> cost(pool, request.customer())))
+        .map(pool -> new Decision(Kind.RUN, Optional.of(pool), needed))
+        .orElse(Decision.of(Kind.WAIT));
+  }
+
+  private Optional<Position> needed(StatementRequest request, long now) {
+    return history
+        .required(request.stalenessInMilliseconds(), now)
+        .map(
+            position ->
+                request.kind() == RouteKind.READ_YOUR_WRITES
+                    ? position.maximum(request.seen())
+                    : position);
+  }
+
+  private boolean probablyHolds(EndpointPool pool, Position needed, long now) {
+    return keeper.leads(pool.entry().id()) || pool.lag().probablyHolds(needed, history, now);
+  }
+
+  private double cost(EndpointPool pool, String customer) {
+    double cost = pool.load();
+    if (!pool.hasIdle(customer)) {
+      cost += COST_OF_NEW_CONNECTION;
+    }
+    if (keeper.leads(pool.entry().id())) {
+      cost += COST_OF_PRIMARY;
+    }
+    return cost;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementQueues.java
@@ -0,0 +1,102 @@
+package org.toucanmast.runtime.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanmast.core.gateway.Admission;
+import org.toucanmast.core.gateway.WorkQueue;
+import org.toucanmast.core.statement.ResultCode;
+import org.toucanmast.core.statement.StatementRequest;
+
+/** The statements that wait at a gateway: one queue for the primary, one for any endpoint. */
+final class StatementQueues {
+  private final GatewayContext context;
+  private final Map<String, EndpointPool> pools;
+  private final LeaderKeeper keeper;
+  private final WorkQueue<PendingStatement> primary = new WorkQueue<>();
+  private final WorkQueue<PendingStatement> reads = new WorkQueue<>();
+
+  StatementQueues(GatewayContext context, Map<String, EndpointPool> pools, LeaderKeeper keeper) {
+    this.context = context;
+    this.pools = pools;
+    this.keeper = keeper;
+  }
+
+  private WorkQueue<PendingStatement> queueOf(PendingStatement statement) {
+    return statement.needsPrimary() ? primary : reads;
+  }
+
+  /** Returns whether a statement will probably run in time if it waits. */
+  boolean admits(PendingStatement statement) {
+    long now = context.clock().now();
+    int slots = 0;
+    int free = 0;
+    int counted = 0;
+    double service = 0;
+    for (EndpointPool pool : pools.values()) {
+      if (mayServe(pool, statement)) {
+        slots += pool.usableSlots(now);
+        free += pool.canStart(now) ? 1 : 0;
+        service += pool.serviceTimes().mean();
+        counted++;
+      }
+    }
+    double mean = service / Math.max(1, counted);
+    double wait = expectedWait(statement, Math.max(1, slots), free, mean);
+    if (statement.needsPrimary()) {
+      wait = Math.max(wait, keeper.expectedOutage(now));
+    }
+    return Admission.admits(wait, mean, statement.deadline() - now);
+  }
+
+  private boolean mayServe(EndpointPool pool, PendingStatement statement) {
+    boolean leads = keeper.leads(pool.entry().id());
+    return leads || pool.mayWork() && !statement.needsPrimary();
+  }
+
+  private double expectedWait(PendingStatement statement, int slots, int free, double mean) {
+    StatementRequest request = statement.request();
+    WorkQueue<PendingStatement> queue = queueOf(statement);
+    int ahead = queue.aheadOf(request.priority(), request.customer());
+    return Admission.expectedWait(
+        Admission.expectedWait(ahead, slots, free, mean),
+        queue.backlogTime(request.priority(), request.customer()));
+  }
+
+  /** Lets a statement wait. */
+  void add(PendingStatement statement) {
+    StatementRequest request = statement.request();
+    boolean added =
+        queueOf(statement)
+            .offer(request.priority(), request.customer(), statement, context.clock().now());
+    if (!added) {
+      statement.refuse(ResultCode.BUSY, "too many statements of this customer wait");
+    }
+  }
+
+  /** Removes and returns the next statement that needs the primary. */
+  Optional<PendingStatement> nextForPrimary(long now) {
+    return primary.poll(now);
+  }
+
+  /** Removes and returns the next read that any endpoint may serve. */
+  Optional<PendingStatement> nextRead(long now) {
+    return reads.poll(now);
+  }
+
+  boolean hasForPrimary() {
+    return primary.size() > 0;
+  }
+
+  boolean hasReads() {
+    return reads.size() > 0;
+  }
+
+  /** Removes and returns the statements that have ended or whose time has run out. */
+  List<PendingStatement> removeExpired(long now) {
+    List<PendingStatement> expired =
+        primary.removeIf(item -> item.isDone() || now >= item.deadline());
+    expired.addAll(reads.removeIf(item -> item.isDone() || now >= item.deadline()));
+    return expired;
+  }
+}
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -39,6 +39,7 @@
 
   private final SessionContext context;
   private final NetSocket socket;
+  private final SessionWriter writer;
   private final CallerDialect.Decoder decoder;
   private final Runnable onEnd;
   private final Deque<CallerMessage> waiting = new ArrayDeque<>();
@@ -54,6 +55,7 @@
   CallerSession(SessionContext context, NetSocket socket, Runnable onEnd) {
     this.context = context;
     this.socket = socket;
+    this.writer = new SessionWriter(context, socket);
     this.decoder = context.dialect().decoder();
     this.onEnd = onEnd;
     socket.handler(this::onBytes);
@@ -103,7 +105,7 @@
     } else {
       database = open.database();
       key = open.key();
-      write(context.dialect().ready(TransactionState.NONE, Position.NONE));
+      writer.write(context.dialect().ready(TransactionState.NONE, Position.NONE));
     }
   }
 
@@ -401,86 +403,23 @@
   }
 
   private void acknowledge() {
-    write(context.dialect().success(List.of(), "", state(), seen));
+    writer.write(context.dialect().success(List.of(), "", state(), seen));
   }
 
   private void answer(
       StatementRequest request, StatementResult result, long startedAt, TransactionState state) {
     long took = context.clock().now() - startedAt;
-    context.metrics().onResult(request.customer(), request.kind(), result.code(), took);
-    if (result.isSuccess()) {
-      context.log().log(
-          EventKind.REQUEST_SERVED,
-          "served",
-          "request",
-          request.requestId(),
-          "operation",
-          request.operation(),
-          "milliseconds",
-          took);
-      write(context.dialect().success(result.rows(), result.text(), state, result.position()));
-    } else {
-      logFailure(request, result, took);
-      write(context.dialect().failure(result.code(), result.text(), state, seen));
-    }
+    writer.answer(request, result, took, state, seen);
     work();
   }
 
-  private void logFailure(StatementRequest request, StatementResult result, long took) {
-    context.log().log(
-        EventKind.REQUEST_FAILED,
-        "failed",
-        "request",
-        request.requestId(),
-        "group",
-        request.group(),
-        "customer",
-        request.customer(),
-        "operation",
-        request.operation(),
-        "kind",
-        request.kind(),
-        "code",
-        result.code(),
-        "reason",
-        result.text(),
-        "milliseconds",
-        took,
-        "configuration",
-        context.catalog().version());
-  }
-
   private void fail(String requestId, ResultCode code, String reason) {
-    context.log().log(
-        EventKind.REQUEST_FAILED,
-        "refused",
-        "request",
-        requestId,
-        "code",
-        code,
-        "reason",
-        reason,
-        "configuration",
-        context.catalog().version());
-    write(context.dialect().failure(code, reason, state(), seen));
-  }
-
-  private void write(Buffer bytes) {
-    if (ended) {
-      return;
-    }
-    socket.write(bytes);
-    if (socket.writeQueueFull()) {
-      socket.pause();
-      socket.drainHandler(drained -> socket.resume());
-    }
+    writer.refuse(requestId, code, reason, state(), seen);
   }
 
   private void closeWith(Buffer last) {
-    if (!ended) {
-      socket.write(last).onComplete(done -> socket.close());
-      end();
-    }
+    writer.writeLast(last);
+    end();
   }
 
   /** Closes the session if it is idle and the VM stops. */
@@ -501,6 +440,7 @@
       return;
     }
     ended = true;
+    writer.stop();
     waiting.clear();
     if (!busy) {
       endAtGateway();
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -162,16 +162,14 @@
         new FleetRegistry(
             vertx, ports.store(), clock, log, self, links, this::onReachabilityChanged);
     clock.onDisagreement(this::onClocksDisagree);
-    mirror(
-        ports.store(), model.configurationKind(), CONFIGURATION_WAIT_IN_MILLISECONDS, catalogs());
-    mirror(
-        ports.store(), model.endpointKind(), ENDPOINT_WAIT_IN_MILLISECONDS, gateways.endpoints());
-    mirror(
-        ports.store(),
-        model.takenOutKind(),
-        TAKEN_OUT_WAIT_IN_MILLISECONDS,
-        gateways.dataCentres());
-    mirror(ports.store(), FleetRegistry.KIND, MEMBER_WAIT_IN_MILLISECONDS, registry);
+    follow(ports.store());
+  }
+
+  private void follow(ObjectStore store) {
+    mirror(store, model.configurationKind(), CONFIGURATION_WAIT_IN_MILLISECONDS, catalogs());
+    mirror(store, model.endpointKind(), ENDPOINT_WAIT_IN_MILLISECONDS, gateways.endpoints());
+    mirror(store, model.takenOutKind(), TAKEN_OUT_WAIT_IN_MILLISECONDS, gateways.dataCentres());
+    mirror(store, FleetRegistry.KIND, MEMBER_WAIT_IN_MILLISECONDS, registry);
   }
 
   private void mirror(ObjectStore store, String kind, long wait, KindMirror.Listener listener) {
--- /dev/null
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
@@ -0,0 +1,57 @@
+package org.toucanmast.runtime.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import org.junit.jupiter.api.Test;
+import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventLog;
+
+class EndpointPoolTest {
+  private long now = 100_000;
+
+  private static EndpointEntry entry(boolean draining) {
+    return new EndpointEntry("i-1", "group", "127.0.0.1", 1, "a", 3, draining, true, 1);
+  }
+
+  private EndpointPool pool(EndpointEntry entry) {
+    EventLog log = new EventLog("vm", OutputStream.nullOutputStream());
+    return new EndpointPool(null, null, new VmClock(() -> now, () -> now), log, entry, 12);
+  }
+
+  @Test
+  void should_send_statements_to_a_leaving_primary_only_for_a_while() {
+    EndpointPool pool = pool(entry(false));
+    pool.update(entry(true));
+
+    assertThat(pool.mayWork()).isFalse();
+    assertThat(pool.mayLead(now + 3_000)).isTrue();
+    assertThat(pool.mayLead(now + 4_000)).isFalse();
+  }
+
+  @Test
+  void should_give_less_time_to_a_primary_that_was_leaving_when_it_was_first_seen() {
+    EndpointPool pool = pool(entry(true));
+
+    assertThat(pool.mayLead(now + 2_000)).isTrue();
+    assertThat(pool.mayLead(now + 3_000)).isFalse();
+  }
+
+  @Test
+  void should_send_statements_to_a_primary_that_stays_after_all() {
+    EndpointPool pool = pool(entry(true));
+    pool.update(entry(false));
+
+    assertThat(pool.mayLead(now + 60_000)).isTrue();
+  }
+
+  @Test
+  void should_leave_a_primary_whose_data_centre_is_taken_out() {
+    EndpointPool pool = pool(entry(false));
+    pool.setTakenOut(true);
+
+    assertThat(pool.mayLead(now + 1_000)).isTrue();
+    assertThat(pool.mayLead(now + 4_000)).isFalse();
+  }
+}
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/PromotionDeskTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/PromotionDeskTest.java
@@ -80,6 +80,13 @@
     assertThat(tokens.get(1)).isGreaterThan(tokens.get(0));
   }
 
+  @Test
+  void should_order_at_once_after_it_took_the_duty_from_a_vm_that_ordered_nothing() {
+    desk("a").prepareSoon("group", now);
+
+    assertThat(desk("b").promote("group", "i-1").result()).isEqualTo(Outcome.ACCEPTED);
+  }
+
   @Test
   void should_need_no_store_once_it_holds_the_duty() {
     PromotionDesk desk = desk("a");
