--- a/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
+++ b/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
@@ -11,18 +11,16 @@
  * @param customersByKey the customers, by each of their keys
  * @param groups the limits of each database group
  * @param idleTransactionInMilliseconds how long a transaction may stay idle
- * @param messageBytes the largest message that callers may send
  */
 public record Catalog(
     long version,
     Map<String, Route> routesByDatabase,
     Map<String, Customer> customersByKey,
     Map<String, GroupLimits> groups,
-    long idleTransactionInMilliseconds,
-    int messageBytes) {
+    long idleTransactionInMilliseconds) {
 
   /** The catalog before any configuration was seen. */
-  public static final Catalog EMPTY = new Catalog(0, Map.of(), Map.of(), Map.of(), 1, 1);
+  public static final Catalog EMPTY = new Catalog(0, Map.of(), Map.of(), Map.of(), 1);
 
   /** Copies the maps. */
   public Catalog {
--- a/core/src/main/java/org/toucanmast/core/catalog/Route.java
+++ b/core/src/main/java/org/toucanmast/core/catalog/Route.java
@@ -10,7 +10,6 @@
  * @param kind how fresh the data must be
  * @param stalenessInMilliseconds how old data may be, on kinds that allow replicas
  * @param timeoutInMilliseconds the longest a single statement may take
- * @param goalInMilliseconds the latency objective of an operation
  * @param priority 0 is the highest
  * @param openToAll whether callers need no key
  */
@@ -20,7 +19,6 @@
     RouteKind kind,
     long stalenessInMilliseconds,
     long timeoutInMilliseconds,
-    long goalInMilliseconds,
     int priority,
     boolean openToAll) {
   /** Refuses missing names and times that are not positive. */
--- a/core/src/main/java/org/toucanmast/core/gateway/ReplicaLag.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/ReplicaLag.java
@@ -54,11 +54,6 @@
     delay = FIRST_GUESS_IN_MILLISECONDS;
   }
 
-  /** Returns the newest position that the replica is known to hold. */
-  public Position known() {
-    return known;
-  }
-
   /** Returns the delay behind the primary that is expected, in milliseconds. */
   public double expectedDelay() {
     return delay;
--- a/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
+++ b/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
@@ -21,7 +21,6 @@
  * @param readOnly whether the transaction only reads
  * @param priority 0 is the highest
  * @param remainingInMilliseconds how long an answer is useful
- * @param goalInMilliseconds the latency objective of the whole operation
  */
 public record StatementRequest(
     String requestId,
@@ -37,8 +36,7 @@
     long transaction,
     boolean readOnly,
     int priority,
-    long remainingInMilliseconds,
-    long goalInMilliseconds) {
+    long remainingInMilliseconds) {
 
   /** The handle when no transaction is open at the gateway yet. */
   public static final long NO_TRANSACTION = 0;
@@ -78,7 +76,6 @@
         transaction,
         readOnly,
         priority,
-        milliseconds,
-        goalInMilliseconds);
+        milliseconds);
   }
 }
--- a/core/src/test/java/org/toucanmast/core/catalog/CatalogTest.java
+++ b/core/src/test/java/org/toucanmast/core/catalog/CatalogTest.java
@@ -9,7 +9,7 @@
 
 class CatalogTest {
   private static Catalog version(long version) {
-    return new Catalog(version, Map.of(), Map.of(), Map.of(), 3_000, 1_024);
+    return new Catalog(version, Map.of(), Map.of(), Map.of(), 3_000);
   }
 
   @Test
@@ -27,7 +27,7 @@
 
   @Test
   void should_refuse_a_route_without_a_group() {
-    assertThatThrownBy(() -> new Route("db", "", RouteKind.PRIMARY, 0, 1_000, 200, 1, false))
+    assertThatThrownBy(() -> new Route("db", "", RouteKind.PRIMARY, 0, 1_000, 1, false))
         .isInstanceOf(IllegalArgumentException.class)
         .hasMessageContaining("group");
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/clock/VmClock.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/clock/VmClock.java
@@ -46,9 +46,4 @@
     }
     return reading.steadyMilliseconds();
   }
-
-  /** Returns the time of day of the last reading, in milliseconds of the Unix epoch. */
-  public long dayMilliseconds() {
-    return last.dayMilliseconds();
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
@@ -38,8 +38,7 @@
             .setTransaction(request.transaction())
             .setReadOnly(request.readOnly())
             .setPriority(request.priority())
-            .setRemainingInMilliseconds(request.remainingInMilliseconds())
-            .setGoalInMilliseconds(request.goalInMilliseconds());
+            .setRemainingInMilliseconds(request.remainingInMilliseconds());
     request
         .prepared()
         .ifPresent(
@@ -71,8 +70,7 @@
         call.getTransaction(),
         call.getReadOnly(),
         call.getPriority(),
-        call.getRemainingInMilliseconds(),
-        call.getGoalInMilliseconds());
+        call.getRemainingInMilliseconds());
   }
 
   static StatementAnswer toAnswer(long callId, StatementResult result) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -59,7 +59,6 @@
   private int running;
   private long avoidedUntil = Long.MIN_VALUE;
   private long pause = FIRST_PAUSE_IN_MILLISECONDS;
-  private long opened;
 
   EndpointPool(
       NetClient client,
@@ -184,7 +183,6 @@
     if (connections.size() >= budget.limit(leads, clock.now()) && !evict()) {
       return Optional.empty();
     }
-    opened++;
     EndpointConnection[] self = new EndpointConnection[1];
     self[0] =
         new EndpointConnection(
@@ -306,16 +304,4 @@
   void avoid(long milliseconds) {
     avoidedUntil = Math.max(avoidedUntil, clock.now() + milliseconds);
   }
-
-  int openConnections() {
-    return connections.size();
-  }
-
-  int idleConnections() {
-    return (int) connections.stream().filter(connection -> !connection.isBusy()).count();
-  }
-
-  long openedInTotal() {
-    return opened;
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -1,6 +1,5 @@
 package org.toucanmast.runtime.gateway;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -360,21 +359,11 @@
     }
   }
 
-  /** Returns the transactions that are open. */
-  public int openTransactions() {
-    return transactions.size();
-  }
-
   /** Returns whether nothing waits or runs. */
   public boolean isIdle() {
     return running.isEmpty() && transactions.size() == 0 && !queues.hasForPrimary();
   }
 
-  /** Returns the endpoints' pools. */
-  Collection<EndpointPool> pools() {
-    return pools.values();
-  }
-
   /** Closes all connections; what runs fails. */
   public void close() {
     List.copyOf(pools.values()).forEach(EndpointPool::close);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -72,7 +72,7 @@
       work();
     } catch (DialectException e) {
       context.log().log(EventKind.PROTOCOL, "caller closed", "reason", e.getMessage());
-      closeWith(context.dialect().refusal(ResultCode.MALFORMED, e.getMessage()));
+      closeWith(context.dialect().refusal(e.code(), e.getMessage()));
     }
   }
 
@@ -391,8 +391,7 @@
         in.handle(),
         in.readOnly(),
         route.priority(),
-        route.timeoutInMilliseconds(),
-        route.goalInMilliseconds());
+        route.timeoutInMilliseconds());
   }
 
   private TransactionState state() {
@@ -430,11 +429,6 @@
     }
   }
 
-  /** Returns whether nothing of the session is under way. */
-  boolean isIdle() {
-    return !busy && transaction == null && waiting.isEmpty();
-  }
-
   private void end() {
     if (ended) {
       return;
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -173,7 +173,7 @@
   }
 
   private void mirror(ObjectStore store, String kind, long wait, KindMirror.Listener listener) {
-    mirrors.put(kind, new KindMirror(vertx, store, clock, log, kind, wait, listener));
+    mirrors.put(kind, new KindMirror(vertx, store, log, kind, wait, listener));
   }
 
   private KindMirror.Listener catalogs() {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
@@ -1,8 +1,8 @@
 package org.toucanmast.runtime.session;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
@@ -127,10 +127,7 @@
   }
 
   private void sendTo(
-      Place place,
-      StatementRequest request,
-      java.util.function.Consumer<StatementResult> onResult,
-      Runnable onLost) {
+      Place place, StatementRequest request, Consumer<StatementResult> onResult, Runnable onLost) {
     if (place.link().isEmpty()) {
       host.execute(request, vm, onResult);
       return;
@@ -152,9 +149,4 @@
               }
             });
   }
-
-  /** Returns the gateways of a group, the first choice first. */
-  List<String> rank(String group) {
-    return router.rank(group);
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore;
@@ -44,7 +43,6 @@
 
   private final Vertx vertx;
   private final ObjectStore store;
-  private final VmClock clock;
   private final EventLog log;
   private final String kind;
   private final long waitInMilliseconds;
@@ -53,9 +51,7 @@
   private long revision = -1;
   private long changedAt = -1;
   private long pause = FIRST_PAUSE_IN_MILLISECONDS;
-  private long confirmedAt = Long.MIN_VALUE;
   private boolean available;
-  private boolean stopped;
 
   /**
    * Creates a mirror; nothing is asked yet.
@@ -66,14 +62,12 @@
   public KindMirror(
       Vertx vertx,
       ObjectStore store,
-      VmClock clock,
       EventLog log,
       String kind,
       long waitInMilliseconds,
       Listener listener) {
     this.vertx = vertx;
     this.store = store;
-    this.clock = clock;
     this.log = log;
     this.kind = kind;
     this.waitInMilliseconds = waitInMilliseconds;
@@ -85,11 +79,6 @@
     list();
   }
 
-  /** Stops following after the call that is under way. */
-  public void stop() {
-    stopped = true;
-  }
-
   /** Returns whether the store answered the last call. */
   public boolean isAvailable() {
     return available;
@@ -100,15 +89,7 @@
     return changedAt >= 0 || revision >= 0;
   }
 
-  /** Returns when the store last confirmed what is known here, on the steady clock. */
-  public long confirmedAt() {
-    return confirmedAt;
-  }
-
   private void list() {
-    if (stopped) {
-      return;
-    }
     store.list(kind).onSuccess(this::onListing).onFailure(error -> retry(error, this::list));
   }
 
@@ -177,9 +158,6 @@
   }
 
   private void watch() {
-    if (stopped) {
-      return;
-    }
     store
         .watch(kind, revision, waitInMilliseconds)
         .onSuccess(this::onChanges)
@@ -228,7 +206,6 @@
   }
 
   private void confirmed() {
-    confirmedAt = clock.now();
     pause = FIRST_PAUSE_IN_MILLISECONDS;
     if (!available) {
       available = true;
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
@@ -73,8 +73,7 @@
             9,
             false,
             2,
-            800,
-            200);
+            800);
     StatementResult result =
         new StatementResult(
             ResultCode.IN_DOUBT, List.of("row"), "signature", new Position(3, 8), 9);
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore.Change;
 import org.toucanmast.runtime.port.ObjectStore.Changes;
@@ -26,7 +25,6 @@
       new KindMirror(
           vertx,
           store,
-          new VmClock(),
           new EventLog("vm", OutputStream.nullOutputStream()),
           "kind",
           1_000,
