--- /dev/null
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointConnectionTest.java
@@ -0,0 +1,90 @@
+package org.toucanmast.runtime.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.statement.Access;
+import org.toucanmast.core.statement.EndpointCommand;
+import org.toucanmast.core.statement.EndpointReply;
+import org.toucanmast.core.statement.PreparedShape;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.port.EndpointDialect;
+import org.toucanmast.runtime.port.EndpointStatus;
+
+class EndpointConnectionTest {
+  private final Vertx vertx = Vertx.vertx();
+  private final EndpointConnection connection =
+      new EndpointConnection(
+          vertx.createNetClient(),
+          new SilentDialect(),
+          new VmClock(),
+          new EndpointEntry("i-1", "group", "127.0.0.1", 1, "a", 3, false, true, 1),
+          "customer",
+          new IgnoredReplies(),
+          () -> {});
+
+  /** A dialect that says nothing. */
+  private static final class SilentDialect implements EndpointDialect {
+    @Override
+    public Decoder decoder() {
+      return bytes -> List.of();
+    }
+
+    @Override
+    public Buffer encode(EndpointCommand command) {
+      return Buffer.buffer();
+    }
+
+    @Override
+    public EndpointStatus status(EndpointReply reply) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private static final class IgnoredReplies implements EndpointConnection.ReplyHandler {
+    @Override
+    public void onReply(int index, EndpointReply reply) {}
+
+    @Override
+    public void onLost(int index, EndpointConnection.Loss loss, boolean sent) {}
+  }
+
+  @AfterEach
+  void close() {
+    vertx.close();
+  }
+
+  @Test
+  void should_set_only_the_values_that_differ() {
+    connection.alignTo(Map.of("a", "1", "b", "2"), Optional.empty());
+
+    assertThat(connection.alignTo(Map.of("a", "1", "b", "3"), Optional.empty()))
+        .containsExactly(new EndpointCommand.SetValue("b", "3"));
+  }
+
+  @Test
+  void should_reset_when_the_session_lacks_a_value_of_the_connection() {
+    connection.alignTo(Map.of("a", "1", "b", "2"), Optional.empty());
+
+    assertThat(connection.alignTo(Map.of("b", "2"), Optional.empty()))
+        .containsExactly(new EndpointCommand.Reset(), new EndpointCommand.SetValue("b", "2"));
+  }
+
+  @Test
+  void should_prepare_a_statement_once_and_again_after_a_reset() {
+    PreparedShape shape = new PreparedShape(Access.READ, "q");
+    EndpointCommand prepare = new EndpointCommand.Prepare("r_q", shape);
+
+    assertThat(connection.alignTo(Map.of("a", "1"), Optional.of(shape))).contains(prepare);
+    assertThat(connection.alignTo(Map.of("a", "1"), Optional.of(shape))).isEmpty();
+    assertThat(connection.alignTo(Map.of(), Optional.of(shape)))
+        .containsExactly(new EndpointCommand.Reset(), prepare);
+  }
+}
