Replica lag at the opening of a connection uses the history of the primary; imports

Cause: an opening's position was compared with an empty history, which counted as no delay at all, so replicas were tried too early. Change: the pool knows the group's history; qualified names in the code are imports.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.failover.PrimarySuspicion;
+import org.toucanmast.core.freshness.PositionHistory;
 import org.toucanmast.core.gateway.ConnectionBudget;
 import org.toucanmast.core.gateway.ReplicaLag;
 import org.toucanmast.core.gateway.ServiceTimes;
@@ -47,6 +48,7 @@
   private final EndpointDialect dialect;
   private final VmClock clock;
   private final EventLog log;
+  private final PositionHistory history;
   private final List<EndpointConnection> connections = new ArrayList<>();
   private final ServiceTimes serviceTimes = new ServiceTimes(SERVICE_GUESS_IN_MILLISECONDS);
   private final ReplicaLag lag = new ReplicaLag();
@@ -65,8 +67,10 @@
       EndpointDialect dialect,
       VmClock clock,
       EventLog log,
+      PositionHistory history,
       EndpointEntry entry,
       int maximumConnections) {
+    this.history = history;
     this.client = client;
     this.dialect = dialect;
     this.clock = clock;
@@ -204,7 +208,7 @@
         if (reply.isSuccess()) {
           pause = FIRST_PAUSE_IN_MILLISECONDS;
           suspicion.answered();
-          observePosition(reply);
+          lag.observe(reply.position(), history, clock.now());
         } else {
           onOpenRefused(reply);
           self[0].close();
@@ -218,13 +222,6 @@
     };
   }
 
-  private void observePosition(EndpointReply reply) {
-    lag.observe(reply.position(), NO_HISTORY, clock.now());
-  }
-
-  private static final org.toucanmast.core.freshness.PositionHistory NO_HISTORY =
-      new org.toucanmast.core.freshness.PositionHistory(0);
-
   private void onOpenRefused(EndpointReply reply) {
     long now = clock.now();
     log.log(
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -83,6 +83,7 @@
               context.endpointDialect(),
               context.clock(),
               context.log(),
+              history,
               entry,
               context.maximumConnections(group));
       pools.put(entry.id(), pool);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -1,5 +1,6 @@
 package org.toucanmast.runtime.session;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.Map;
@@ -128,12 +129,12 @@
             });
   }
 
-  private io.vertx.core.Future<StoredObject> replaceExisting(Throwable error) {
+  private Future<StoredObject> replaceExisting(Throwable error) {
     boolean exists =
         error instanceof StoreException failure
             && failure.reason() == StoreException.Reason.CONFLICT;
     if (!exists) {
-      return io.vertx.core.Future.failedFuture(error);
+      return Future.failedFuture(error);
     }
     return store
         .get(KIND, self.name())
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -60,7 +61,7 @@
     this.vm = vm;
     this.links = links;
     this.startedAt = clock.now();
-    java.util.Arrays.fill(keepers, vm);
+    Arrays.fill(keepers, vm);
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.toucanmast.core.statement.ResultCode;
@@ -21,14 +22,14 @@
 
   /** Notes a statement's result. */
   void onResult(String customer, RouteKind kind, ResultCode code, long milliseconds) {
-    registry.counter("session.results." + code.name().toLowerCase(java.util.Locale.ROOT)).inc();
+    registry.counter("session.results." + code.name().toLowerCase(Locale.ROOT)).inc();
     if (code == ResultCode.SUCCESS) {
       byCustomer
           .computeIfAbsent(customer, name -> timer("session.customer." + name))
           .update(milliseconds, TimeUnit.MILLISECONDS);
       byKind
           .computeIfAbsent(
-              kind, any -> timer("session.route." + kind.name().toLowerCase(java.util.Locale.ROOT)))
+              kind, any -> timer("session.route." + kind.name().toLowerCase(Locale.ROOT)))
           .update(milliseconds, TimeUnit.MILLISECONDS);
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
@@ -391,9 +392,7 @@
                     new StoredObject(
                         item.getName(),
                         item.getRevision(),
-                        item.getContent().isEmpty()
-                            ? null
-                            : new io.vertx.core.json.JsonObject(item.getContent())))
+                        item.getContent().isEmpty() ? null : new JsonObject(item.getContent())))
             .toList();
     mirror.adopt(push.getChangedAt(), objects);
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.freshness.PositionHistory;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 
@@ -17,7 +18,8 @@
 
   private EndpointPool pool(EndpointEntry entry) {
     EventLog log = new EventLog("vm", OutputStream.nullOutputStream());
-    return new EndpointPool(null, null, new VmClock(() -> now, () -> now), log, entry, 12);
+    return new EndpointPool(
+        null, null, new VmClock(() -> now, () -> now), log, new PositionHistory(1_000), entry, 12);
   }
 
   @Test
