First tokens lapse; a VM that knows of no other does not take the fleet for restarted

A VM that was killed and came back kept lots of customers; before it had read the list of members it took itself for the whole fleet, added the burst as first tokens, and these lay beside the full bucket until a customer sent many times its usual five seconds later. Change: first tokens lapse after two seconds, and a restart of the fleet needs a second VM to be told. The new test failed before.

--- a/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
+++ b/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
@@ -23,7 +23,11 @@
   /** The smallest part of an allowance; stands for none. */
   private static final double SMALLEST_PART = 1e-6;
 
+  /** First tokens that are not used within this time are lost, in milliseconds. */
+  private static final long FIRST_TOKENS_LIFE_IN_MILLISECONDS = 2_000;
+
   private final TokenBucket bucket;
+  private final long firstUntil;
   private int first;
   private boolean whole;
 
@@ -35,6 +39,7 @@
   public KeptAllowance(Allowance whole, double lent, long now) {
     this.bucket = new TokenBucket(part(whole, lent), 0, now * NANOSECONDS_PER_MILLISECOND);
     this.first = (int) (whole.burst() * FIRST_TOKENS);
+    this.firstUntil = now + FIRST_TOKENS_LIFE_IN_MILLISECONDS;
   }
 
   private static Allowance part(Allowance whole, double lent) {
@@ -61,6 +66,9 @@
   /** Takes tokens; returns how many were taken. */
   public int take(int count, long now) {
     int taken = bucket.take(count, now * NANOSECONDS_PER_MILLISECOND);
+    if (now > firstUntil) {
+      return taken;
+    }
     int more = Math.min(first, count - taken);
     first -= more;
     return taken + more;
--- a/core/src/test/java/org/toucanmast/core/quota/KeptAllowanceTest.java
+++ b/core/src/test/java/org/toucanmast/core/quota/KeptAllowanceTest.java
@@ -79,4 +79,12 @@
 
     assertThat(kept.take(500, 0)).isBetween(95, 101);
   }
+
+  @Test
+  void should_not_add_first_tokens_to_a_bucket_that_has_filled_since() {
+    KeptAllowance kept = new KeptAllowance(WHOLE, 1, 0);
+    kept.fillAfterRestart(WHOLE);
+
+    assertThat(kept.take(500, 10_000)).isEqualTo(100);
+  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -123,9 +123,13 @@
     return known;
   }
 
-  /** Returns whether this VM hears of all others, and all of them are new like itself. */
+  /**
+   * Returns whether this VM hears of all others, and all of them are new like itself; a VM that
+   * knows of no other yet cannot tell.
+   */
   private boolean hasFleetRestarted(long now) {
     return now - startedAt < RESTART_IN_MILLISECONDS
+        && members.size() > 1
         && loans.size() + 1 >= members.size()
         && loans.values().stream()
             .allMatch(loan -> now - loan.startedAt() < RESTART_IN_MILLISECONDS);
