--- /dev/null
+++ b/core/src/test/java/org/toucanmast/core/promotion/PlannedMoveTest.java
@@ -0,0 +1,75 @@
+package org.toucanmast.core.promotion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PlannedMoveTest {
+  private static final Set<String> VMS = Set.of("a", "b");
+  private static final long PATIENCE = 1_000;
+  private final PlannedMove move = new PlannedMove(PATIENCE);
+
+  @Test
+  void should_not_proceed_when_nothing_is_announced() {
+    move.onHeld("a", 1, 0);
+    move.onHeld("b", 1, 0);
+
+    assertThat(move.mayProceed(VMS, 5_000)).isFalse();
+  }
+
+  @Test
+  void should_wait_until_every_vm_holds() {
+    move.announce(1, 0);
+    move.onHeld("a", 1, 0);
+
+    assertThat(move.mayProceed(VMS, 10)).isFalse();
+
+    move.onHeld("b", 1, 0);
+
+    assertThat(move.mayProceed(VMS, 20)).isTrue();
+  }
+
+  @Test
+  void should_wait_for_open_transactions() {
+    move.announce(1, 0);
+    move.onHeld("a", 1, 0);
+    move.onHeld("b", 1, 2);
+
+    assertThat(move.mayProceed(VMS, 10)).isFalse();
+
+    move.onHeld("b", 1, 0);
+
+    assertThat(move.mayProceed(VMS, 20)).isTrue();
+  }
+
+  @Test
+  void should_proceed_when_patience_has_passed() {
+    move.announce(1, 0);
+    move.onHeld("b", 1, 2);
+    move.announce(1, 500);
+
+    assertThat(move.mayProceed(VMS, PATIENCE - 1)).isFalse();
+    assertThat(move.mayProceed(VMS, PATIENCE)).isTrue();
+  }
+
+  @Test
+  void should_not_count_reports_of_another_term() {
+    move.announce(2, 0);
+    move.onHeld("a", 1, 0);
+    move.onHeld("b", 2, 0);
+
+    assertThat(move.mayProceed(VMS, 10)).isFalse();
+  }
+
+  @Test
+  void should_forget_reports_when_withdrawn() {
+    move.announce(1, 0);
+    move.onHeld("a", 1, 0);
+    move.onHeld("b", 1, 0);
+    move.withdraw();
+    move.announce(1, 100);
+
+    assertThat(move.mayProceed(VMS, 110)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/toucanmast/core/promotion/TransactionHoldTest.java
@@ -0,0 +1,45 @@
+package org.toucanmast.core.promotion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TransactionHoldTest {
+  private final TransactionHold hold = new TransactionHold(500);
+
+  @Test
+  void should_hold_nothing_when_nobody_asked() {
+    assertThat(hold.isHeld(0, 0)).isFalse();
+  }
+
+  @Test
+  void should_hold_while_asked() {
+    hold.onPlanned(3, 0);
+    hold.onPlanned(3, 400);
+
+    assertThat(hold.isHeld(3, 899)).isTrue();
+  }
+
+  @Test
+  void should_lapse_when_the_asking_vm_is_silent() {
+    hold.onPlanned(3, 0);
+
+    assertThat(hold.isHeld(3, 500)).isFalse();
+  }
+
+  @Test
+  void should_end_when_the_primary_has_moved() {
+    hold.onPlanned(3, 0);
+
+    assertThat(hold.isHeld(4, 10)).isFalse();
+  }
+
+  @Test
+  void should_count_open_transactions() {
+    hold.onBegun();
+    hold.onBegun();
+    hold.onEnded();
+
+    assertThat(hold.open()).isOne();
+  }
+}
--- a/integration-tests/src/test/resources/features/operations.feature
+++ b/integration-tests/src/test/resources/features/operations.feature
@@ -1,6 +1,5 @@
 Feature: Operators change the fleet under load
 
-  @known-red
   Scenario: a primary is moved as planned
     Given the lentes deployment with 3 VMs
     And the fleet runs
@@ -12,7 +11,21 @@
     And the primary of stock is stock-2
     And no request was refused or lost but for allowances
 
-  @known-red
+  Scenario: a primary is moved while callers rest inside transactions
+    Given the lentes deployment with 3 VMs
+    And customer bench-1 sends 100ms by pause
+    And customer bench-1 sends 40 by transaction-percent
+    And customer bench-2 sends 100ms by pause
+    And customer bench-2 sends 40 by transaction-percent
+    And the fleet runs
+    When load runs for 5 s at 40 percent of the rates
+    And 2000 ms pass
+    And an operator runs: group move stock stock-2
+    Then the load ends
+    And no promise is broken
+    And the primary of stock is stock-2
+    And no request was refused or lost but for allowances
+
   Scenario: a data centre is taken out and brought back
     Given the lentes deployment with 3 VMs
     And the fleet runs
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.toucanmast.core.configuration.Database;
 import org.toucanmast.core.configuration.EndpointDescription;
@@ -13,6 +14,7 @@
 import org.toucanmast.core.group.GroupView;
 import org.toucanmast.core.group.ObservationRound;
 import org.toucanmast.core.promotion.Observers;
+import org.toucanmast.core.promotion.TransactionHold;
 import org.toucanmast.core.request.RetryBudget;
 import org.toucanmast.core.routing.Router;
 import org.toucanmast.runtime.endpoint.EndpointControl;
@@ -26,6 +28,9 @@
   private static final long WHOLE_INTERVAL_IN_NANOSECONDS = 1_000_000_000L;
   private static final long USED_LATELY_IN_NANOSECONDS = 5_000_000_000L;
 
+  /** As long as a peer's suspicion counts: some heartbeats. */
+  private static final long HOLD_LIFE_IN_NANOSECONDS = 500_000_000;
+
   private final DatabaseSettings settings;
   private final HttpClientAgent client;
   private final String dataCentre;
@@ -33,10 +38,12 @@
   private final GroupView view = new GroupView();
   private final GroupObserver observer;
   private final PromotionDuty promotion;
+  private final TransactionHold hold = new TransactionHold(HOLD_LIFE_IN_NANOSECONDS);
   private final RetryBudget retryBudget = new RetryBudget(RETRY_FRACTION, RETRY_CAPACITY);
   private final Map<String, EndpointPool> pools = new HashMap<>();
   private final Map<String, String> addresses = new HashMap<>();
   private final String self;
+  private final Runnable changed;
   private Map<String, String> observerCandidates = Map.of();
   private List<String> observers = List.of();
   private Database database;
@@ -66,6 +73,7 @@
       LongSupplier clock,
       Runnable changed) {
     this.self = self;
+    this.changed = changed;
     this.client = client;
     this.settings = settings;
     this.database = database;
@@ -83,22 +91,22 @@
    * @param vms how many VMs share the endpoints' connections
    * @param rank this VM's place among them, from 0
    */
-  public void update(FleetConfiguration configuration, Database changed, int vms, int rank) {
-    database = changed;
-    router = new Router(configuration, changed, dataCentre);
-    observer.update(changed);
-    for (EndpointDescription endpoint : changed.endpoints()) {
+  public void update(FleetConfiguration configuration, Database described, int vms, int rank) {
+    database = described;
+    router = new Router(configuration, described, dataCentre);
+    observer.update(described);
+    for (EndpointDescription endpoint : described.endpoints()) {
       String earlier = addresses.put(endpoint.name(), endpoint.address());
       if (earlier != null && !earlier.equals(endpoint.address())) {
         pools.remove(endpoint.name()).close();
       }
       pool(endpoint).setLimit(connectionShare(endpoint.connections(), vms, rank));
     }
-    pools.keySet().removeIf(name -> closeIfGone(name, changed));
+    pools.keySet().removeIf(name -> closeIfGone(name, described));
   }
 
-  private boolean closeIfGone(String name, Database changed) {
-    boolean gone = changed.endpoints().stream().noneMatch(each -> each.name().equals(name));
+  private boolean closeIfGone(String name, Database described) {
+    boolean gone = described.endpoints().stream().noneMatch(each -> each.name().equals(name));
     if (gone) {
       pools.get(name).close();
     }
@@ -186,6 +194,48 @@
     }
   }
 
+  /** Returns the term whose primary this VM is about to move, or empty. */
+  public Optional<Long> plannedMove() {
+    return promotion.plannedMove();
+  }
+
+  /** Takes in that a peer is about to move the primary of a term. */
+  public void onPeerPlansMove(long term, long now) {
+    boolean isNew = !hold.isHeld(view.term(), now);
+    hold.onPlanned(term, now);
+    if (isNew) {
+      changed.run();
+    }
+  }
+
+  /** Takes in how many transactions a peer still runs while it begins none. */
+  public void onPeerHolds(String peer, long term, int open) {
+    promotion.onHeldTransactions(peer, term, open);
+  }
+
+  /** Returns the term in which this VM begins no transaction now, or empty. */
+  public Optional<Long> heldTerm(long now) {
+    return hold.isHeld(view.term(), now) ? Optional.of(hold.term()) : Optional.empty();
+  }
+
+  /** Returns how many transactions this VM runs at the group. */
+  public int openTransactions() {
+    return hold.open();
+  }
+
+  /** Counts a transaction that begins. */
+  public void onTransactionBegun() {
+    hold.onBegun();
+  }
+
+  /** Counts a transaction whose outcome is known; peers hear of the last one at once. */
+  public void onTransactionEnded(long now) {
+    hold.onEnded();
+    if (hold.open() == 0 && hold.isHeld(view.term(), now)) {
+      changed.run();
+    }
+  }
+
   /** Takes in a primary that a peer knows. */
   public void onPeerPrimary(String endpoint, long term) {
     boolean newer = term > view.term();
@@ -198,12 +248,17 @@
   /**
    * Does what is due.
    *
-   * @param liveVms data centre by name of the VMs that can observe
+   * @param candidates data centre by name of the VMs that can observe
+   * @param liveVms all VMs that may run transactions, leaving ones too
    */
-  public void tick(FleetConfiguration configuration, Map<String, String> liveVms, long now) {
-    if (!liveVms.equals(observerCandidates)) {
-      observerCandidates = Map.copyOf(liveVms);
-      observers = Observers.of(database.name(), liveVms);
+  public void tick(
+      FleetConfiguration configuration,
+      Map<String, String> candidates,
+      Set<String> liveVms,
+      long now) {
+    if (!candidates.equals(observerCandidates)) {
+      observerCandidates = Map.copyOf(candidates);
+      observers = Observers.of(database.name(), candidates);
     }
     boolean observes = observers.contains(self);
     boolean usedLately = used && now - usedAt <= USED_LATELY_IN_NANOSECONDS;
@@ -218,7 +273,14 @@
     }
     observer.tick(now);
     pools.values().forEach(pool -> pool.tick(now, settings.getConnectionIdleTimeout()));
-    promotion.tick(configuration, database, observers, now);
+    promotion.tick(configuration, database, observers, liveVms, now);
+    promotion
+        .plannedMove()
+        .ifPresent(
+            term -> {
+              hold.onPlanned(term, now);
+              promotion.onHeldTransactions(self, term, hold.open());
+            });
   }
 
   /** At rest only the primary is asked each time, and the whole group now and then. */
--- a/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
@@ -6,6 +6,7 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.toucanmast.core.configuration.Database;
 import org.toucanmast.core.configuration.EndpointDescription;
@@ -14,6 +15,7 @@
 import org.toucanmast.core.group.GroupView;
 import org.toucanmast.core.group.ObservationRound;
 import org.toucanmast.core.promotion.MoveDecision;
+import org.toucanmast.core.promotion.PlannedMove;
 import org.toucanmast.core.promotion.PrimaryWatch;
 import org.toucanmast.core.promotion.PromotionDecision;
 import org.toucanmast.runtime.endpoint.EndpointControl;
@@ -26,6 +28,9 @@
   private static final long PAUSE_AFTER_ORDER_IN_NANOSECONDS = 300_000_000;
   private static final long PAUSE_AFTER_FAILED_MOVE_IN_NANOSECONDS = 2_000_000_000;
 
+  /** Under the deadlines of the callers that wait to begin a transaction meanwhile. */
+  private static final long MOVE_PATIENCE_IN_NANOSECONDS = 1_000_000_000;
+
   private final Vertx vertx;
   private final EndpointControl control;
   private final GroupView view;
@@ -33,6 +38,7 @@
   private final PrimaryWatch watch;
   private final PromotionDecision decision =
       new PromotionDecision(STEP_IN_NANOSECONDS, REPORT_LIFE_IN_NANOSECONDS);
+  private final PlannedMove plannedMove = new PlannedMove(MOVE_PATIENCE_IN_NANOSECONDS);
   private final Runnable changed;
   private long highestTerm;
   private long notBefore;
@@ -84,12 +90,28 @@
     return orders;
   }
 
+  /** Returns the term whose primary is about to be moved, or empty. */
+  Optional<Long> plannedMove() {
+    return plannedMove.isAnnounced() ? Optional.of(view.term()) : Optional.empty();
+  }
+
+  /** Takes in how many transactions a VM still runs while it begins none. */
+  void onHeldTransactions(String vm, long term, int open) {
+    plannedMove.onHeld(vm, term, open);
+  }
+
   /**
    * Decides and acts.
    *
    * @param observers the VMs that observe the group, the first to order first
+   * @param vms the live VMs, any of which may have transactions open
    */
-  void tick(FleetConfiguration configuration, Database database, List<String> observers, long now) {
+  void tick(
+      FleetConfiguration configuration,
+      Database database,
+      List<String> observers,
+      Set<String> vms,
+      long now) {
     noteOwnSuspicion(observers.contains(self) && watch.suspects(now), now);
     if (ordering || highestTerm == 0 || now - notBefore < 0) {
       return;
@@ -97,8 +119,20 @@
     if (decision.shouldOrder(self, observers, view.term(), now)) {
       order(configuration, database, now);
     } else if (observers.indexOf(self) == 0 && !suspecting) {
-      MoveDecision.target(configuration, database, view)
-          .ifPresent(target -> move(database, target, now));
+      Optional<String> target = MoveDecision.target(configuration, database, view);
+      target.ifPresentOrElse(chosen -> planMove(database, chosen, vms, now), plannedMove::withdraw);
+    } else {
+      plannedMove.withdraw();
+    }
+  }
+
+  private void planMove(Database database, String target, Set<String> vms, long now) {
+    boolean isNew = !plannedMove.isAnnounced();
+    plannedMove.announce(view.term(), now);
+    if (plannedMove.mayProceed(vms, now)) {
+      move(database, target, now);
+    } else if (isNew) {
+      changed.run();
     }
   }
 
@@ -167,6 +201,10 @@
               notBefore = now + pause;
               log.log(Level.WARNING, "{0}: order failed: {1}", database.name(), cause.getMessage());
             })
-        .onComplete(done -> ordering = false);
+        .onComplete(
+            done -> {
+              ordering = false;
+              plannedMove.withdraw();
+            });
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/membership/HeartbeatDuty.java
@@ -14,9 +14,11 @@
 import org.toucanmast.core.membership.EpochGate;
 import org.toucanmast.runtime.group.DatabaseGroup;
 import org.toucanmast.runtime.peer.PeerIdentity;
+import org.toucanmast.schema.HeldTransactions;
 import org.toucanmast.schema.Lending;
 import org.toucanmast.schema.PeerHeartbeat;
 import org.toucanmast.schema.PeerMessage;
+import org.toucanmast.schema.PlannedMove;
 import org.toucanmast.schema.PrimaryDigest;
 import org.toucanmast.schema.Suspicion;
 
@@ -156,6 +158,18 @@
         group.onPeerPrimary(digest.getEndpoint(), digest.getTerm());
       }
     }
+    for (PlannedMove planned : heartbeat.getPlannedMovesList()) {
+      DatabaseGroup group = groups.get(planned.getDatabase());
+      if (group != null) {
+        group.onPeerPlansMove(planned.getTerm(), now);
+      }
+    }
+    for (HeldTransactions held : heartbeat.getHeldTransactionsList()) {
+      DatabaseGroup group = groups.get(held.getDatabase());
+      if (group != null) {
+        group.onPeerHolds(peer, held.getTerm(), held.getOpen());
+      }
+    }
   }
 
   /** Decides to whom this VM wants to lend: to all members but the silent and leaving ones. */
@@ -204,6 +218,21 @@
                   term ->
                       heartbeat.addSuspicions(
                           Suspicion.newBuilder().setDatabase(name).setTerm(term)));
+          group
+              .plannedMove()
+              .ifPresent(
+                  term ->
+                      heartbeat.addPlannedMoves(
+                          PlannedMove.newBuilder().setDatabase(name).setTerm(term)));
+          group
+              .heldTerm(now)
+              .ifPresent(
+                  term ->
+                      heartbeat.addHeldTransactions(
+                          HeldTransactions.newBuilder()
+                              .setDatabase(name)
+                              .setTerm(term)
+                              .setOpen(group.openTransactions())));
         });
     digests.next(groups, now).forEach(heartbeat::addPrimaries);
     return heartbeat.build();
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionDuty.java
@@ -1,10 +1,13 @@
 package org.toucanmast.runtime.transaction;
 
 import io.vertx.core.Future;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.toucanmast.core.group.LogSummary.Coverage;
 import org.toucanmast.core.request.Refusal;
 import org.toucanmast.core.request.RefusedException;
@@ -15,6 +18,7 @@
 import org.toucanmast.runtime.endpoint.EndpointCall;
 import org.toucanmast.runtime.endpoint.EndpointCall.Operation;
 import org.toucanmast.runtime.endpoint.EndpointConnection;
+import org.toucanmast.runtime.endpoint.EndpointException;
 import org.toucanmast.runtime.endpoint.EndpointReply;
 import org.toucanmast.runtime.endpoint.EndpointReply.Result;
 import org.toucanmast.runtime.group.Confirmation;
@@ -33,6 +37,8 @@
  * the endpoint said so; in every other case it is closed, and the endpoint rolls back.
  */
 public final class TransactionDuty {
+  private static final Logger log = System.getLogger(TransactionDuty.class.getName());
+
   private final String self;
   private final RequestPath path;
   private final long idleTimeout;
@@ -65,11 +71,46 @@
     return path.awaitPrimary(group, request)
         .compose(
             destination ->
-                path.connect(group, destination, request)
-                    .compose(connection -> begin(group, destination, connection, request)));
+                group.heldTerm(path.now()).isPresent()
+                    ? path.pause(request).compose(nothing -> beginAt(group, request))
+                    : beginAt(group, destination, request));
+  }
+
+  private Future<CallerAnswer> beginAt(
+      DatabaseGroup group, Destination destination, CallerRequest request) {
+    group.onTransactionBegun();
+    return path.connect(group, destination, request)
+        .compose(connection -> begin(group, destination, connection, request))
+        .recover(cause -> nothingBegan(group, destination, cause))
+        .onFailure(cause -> group.onTransactionEnded(path.now()))
+        .compose(
+            begun -> {
+              if (begun.isPresent()) {
+                return Future.succeededFuture(begun.get());
+              }
+              group.onTransactionEnded(path.now());
+              return beginAgain(group, request);
+            });
   }
 
-  private Future<CallerAnswer> begin(
+  /** An endpoint that was not reached, or did not answer, has begun nothing that is kept. */
+  private static Future<Optional<CallerAnswer>> nothingBegan(
+      DatabaseGroup group, Destination destination, Throwable cause) {
+    if (!(cause instanceof EndpointException)) {
+      return Future.failedFuture(cause);
+    }
+    log.log(
+        Level.DEBUG,
+        "{0}: no transaction begun at {1}: {2}",
+        group.database().name(),
+        destination.endpoint(),
+        cause.getMessage());
+    group.view().forget(destination.endpoint());
+    return Future.succeededFuture(Optional.empty());
+  }
+
+  /** Returns the answer, or empty when the endpoint cannot run it and another attempt is due. */
+  private Future<Optional<CallerAnswer>> begin(
       DatabaseGroup group,
       Destination destination,
       EndpointConnection connection,
@@ -82,13 +123,14 @@
               group.view().learn(reply.status());
               Coverage coverage = reply.status().log().coverageOf(destination.required());
               if (reply.result() == Result.RAN && coverage == Coverage.COVERED) {
-                return Future.succeededFuture(register(group, destination, connection, request));
+                return Future.succeededFuture(
+                    Optional.of(register(group, destination, connection, request)));
               }
               connection.close();
               path.release(group, connection);
               return coverage == Coverage.LOST
                   ? refuse(Refusal.LOST_WRITE)
-                  : beginAgain(group, request);
+                  : Future.succeededFuture(Optional.empty());
             });
   }
 
@@ -195,11 +237,12 @@
     }
     return switch (operation) {
       case COMMIT -> {
-        finish(transaction);
-        yield confirm(transaction, reply, request);
+        release(transaction);
+        yield confirm(transaction, reply, request).onComplete(confirmed -> countEnd(transaction));
       }
       case ROLLBACK -> {
-        finish(transaction);
+        release(transaction);
+        countEnd(transaction);
         yield Future.succeededFuture(answer(transaction, reply, request.token()));
       }
       default -> Future.succeededFuture(answer(transaction, reply, request.token()));
@@ -250,15 +293,21 @@
         new RefusedException(Refusal.OUTCOME_UNKNOWN), token.with(handle.database(), view));
   }
 
-  private void finish(OpenTransaction transaction) {
+  private void release(OpenTransaction transaction) {
     open.remove(transaction.handle().id());
     path.release(transaction.group(), transaction.connection());
   }
 
+  /** A commit counts as open until it is confirmed: a move before that leaves it in doubt. */
+  private void countEnd(OpenTransaction transaction) {
+    transaction.group().onTransactionEnded(path.now());
+  }
+
   /** Closes the connection, whereupon the endpoint rolls back. */
   private void rollBack(OpenTransaction transaction) {
     transaction.connection().close();
-    finish(transaction);
+    release(transaction);
+    countEnd(transaction);
   }
 
   /** Rolls back transactions that nobody used for long. */
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -13,6 +13,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -246,7 +247,10 @@
   private void tick() {
     long now = clock.getAsLong();
     allowances.tick(now);
-    groups.values().forEach(group -> group.tick(configuration.current(), observerCandidates, now));
+    Set<String> live = peers.live(now).keySet();
+    groups
+        .values()
+        .forEach(group -> group.tick(configuration.current(), observerCandidates, live, now));
     transactions.tick(now);
     forwards.tick(now);
   }
--- a/standin/src/main/java/org/toucanmast/standin/load/LoadRunner.java
+++ b/standin/src/main/java/org/toucanmast/standin/load/LoadRunner.java
@@ -238,16 +238,29 @@
                 return Future.succeededFuture(withOutcome(begun, "not-run"));
               }
               String base = "/v1/transactions/" + begun.body().getString("transaction");
-              return call(request, base + "/statements", "", append)
+              return rest(request)
+                  .compose(rested -> call(request, base + "/statements", "", append))
                   .compose(
                       changed ->
                           changed.outcome().equals("ran")
-                              ? call(request, base + "/commit", request.id(), new JsonObject())
+                              ? commit(request, base)
                               : call(request, base + "/rollback", "", new JsonObject())
                                   .map(done -> withOutcome(changed, "not-run")));
             });
   }
 
+  private Future<Answer> commit(Request request, String base) {
+    return rest(request)
+        .compose(rested -> call(request, base + "/commit", request.id(), new JsonObject()));
+  }
+
+  private Future<Void> rest(Request request) {
+    long pause = TimeUnit.NANOSECONDS.toMillis(request.session().section().getPause());
+    return pause == 0
+        ? Future.succeededFuture()
+        : vertx.timer(pause, TimeUnit.MILLISECONDS).mapEmpty();
+  }
+
   private Future<Answer> call(Request request, String path, String id, JsonObject body) {
     LoadSession session = request.session();
     return client.send(request.vm(), path, session.section().getKey(), session.token(), id, body);
