The note of a promotion order passes on with the duty, and is taken back after a lease

Cause: the note that a holder has ordered was dropped when the duty changed hands, or when the holder took a new token after an order of unknown outcome; the next holder then ordered within the lease of that order. Found by reading, three tests failed first. Ruled out: waiting for the note's acknowledgement before the order (a promotion must not need the store). Change: a token remembers until when an earlier order matters; the note is kept on taking over and taken back one lease after the order, in calm times. Without that, a takeover long after an order waited a lease for nothing (third test).

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
@@ -21,6 +21,7 @@
  * change is the token. The token is taken in calm times, so that a promotion needs no store. A
  * token that was refused, or whose order has no known outcome, is not used again. A holder notes in
  * the object that it has ordered; whoever takes the duty over from it orders nothing for a lease.
+ * The note passes on with the duty, and is taken back once a lease has passed since the order.
  */
 public final class PromotionDesk {
   /** The kind of the objects that name the holders. */
@@ -55,8 +56,19 @@
    *
    * @param value the store's revision
    * @param usableFrom when the first order may be given, on the steady clock
+   * @param calmFrom when the note of an order can be taken back; {@link #NOTHING_NOTED} without one
    */
-  private record Token(long value, long usableFrom) {}
+  private record Token(long value, long usableFrom, long calmFrom) {
+    private static final long NOTHING_NOTED = Long.MAX_VALUE;
+
+    private Token afterOrder(long now) {
+      return new Token(value, usableFrom, now + LEASE_IN_MILLISECONDS);
+    }
+
+    private boolean isNoteOutdated(long now) {
+      return now >= calmFrom;
+    }
+  }
 
   /** Creates a desk without tokens. */
   public PromotionDesk(
@@ -68,17 +80,21 @@
     this.vm = vm;
   }
 
-  /** Takes the duty for a group, if this VM does not hold it yet; failures are tried again. */
+  /**
+   * Takes the duty for a group, if this VM does not hold it yet, or takes back the note of an order
+   * of long ago; failures are tried again.
+   */
   void prepareSoon(String group, long now) {
-    if (tokens.containsKey(group) || now < preparedAt.getOrDefault(group, Long.MIN_VALUE)) {
+    Token held = tokens.get(group);
+    boolean isReady = held != null && !held.isNoteOutdated(now);
+    if (isReady || now < preparedAt.getOrDefault(group, Long.MIN_VALUE)) {
       return;
     }
     preparedAt.put(group, now + PREPARE_AGAIN_IN_MILLISECONDS);
-    token(group)
-        .onFailure(
-            error ->
-                log.log(
-                    EventKind.PROMOTION, "no token", "group", group, "reason", error.getMessage()));
+    Future<Token> ready = held == null ? token(group) : taken(group, true);
+    ready.onFailure(
+        error ->
+            log.log(EventKind.PROMOTION, "no token", "group", group, "reason", error.getMessage()));
   }
 
   /** Returns whether an order could be given now, or the duty is not held yet. */
@@ -92,11 +108,16 @@
     if (held != null) {
       return Future.succeededFuture(held);
     }
+    return taken(group, false);
+  }
+
+  /** Takes a new token, unless one is being taken. */
+  private Future<Token> taken(String group, boolean isCalm) {
     Future<Token> running = taking.get(group);
     if (running != null) {
       return running;
     }
-    Future<Token> started = take(group);
+    Future<Token> started = take(group, isCalm);
     if (!started.isComplete()) {
       taking.put(group, started);
     }
@@ -109,28 +130,37 @@
         });
   }
 
-  private Future<Token> take(String group) {
+  /**
+   * Takes a new token.
+   *
+   * @param isCalm whether a lease has passed since the last order that this holder knows of
+   */
+  private Future<Token> take(String group, boolean isCalm) {
     return store
         .get(KIND, group)
         .compose(
-            object ->
-                store
-                    .replace(KIND, group, content(), object.revision())
-                    .map(taken -> takenFrom(object, taken)),
+            object -> takeFrom(group, object, isCalm),
             error ->
                 isMissing(error)
                     ? store
-                        .create(KIND, group, content())
-                        .map(taken -> new Token(taken.revision(), clock.now()))
+                        .create(KIND, group, content(false))
+                        .map(taken -> new Token(taken.revision(), clock.now(), Token.NOTHING_NOTED))
                     : Future.failedFuture(error));
   }
 
-  private Token takenFrom(StoredObject before, StoredObject taken) {
+  private Future<Token> takeFrom(String group, StoredObject before, boolean isCalm) {
     JsonObject earlier = before.content() == null ? new JsonObject() : before.content();
     boolean own = vm.equals(earlier.getString(HOLDER));
-    boolean hasOrdered = earlier.getBoolean(ORDERED, true);
+    boolean hasOrdered = earlier.getBoolean(ORDERED, true) && !(own && isCalm);
     long wait = own || !hasOrdered ? 0 : LEASE_IN_MILLISECONDS;
-    return new Token(taken.revision(), clock.now() + wait);
+    return store
+        .replace(KIND, group, content(hasOrdered), before.revision())
+        .map(
+            taken ->
+                new Token(
+                    taken.revision(),
+                    clock.now() + wait,
+                    hasOrdered ? clock.now() + LEASE_IN_MILLISECONDS : Token.NOTHING_NOTED));
   }
 
   private static boolean isMissing(Throwable error) {
@@ -138,15 +168,15 @@
         && failure.reason() == StoreException.Reason.MISSING;
   }
 
-  private JsonObject content() {
+  private JsonObject content(boolean hasOrdered) {
     count++;
-    return new JsonObject().put(HOLDER, vm).put(COUNT, vm + "-" + count).put(ORDERED, false);
+    return new JsonObject().put(HOLDER, vm).put(COUNT, vm + "-" + count).put(ORDERED, hasOrdered);
   }
 
   /** Notes in the store that this holder has ordered, so that the next one waits for a lease. */
   private void noteOrdered(String group, Token token, int attempt) {
     store
-        .replace(KIND, group, content().put(ORDERED, true), token.value())
+        .replace(KIND, group, content(true), token.value())
         .onFailure(
             error -> {
               boolean taken =
@@ -186,6 +216,7 @@
     if (noted.add(token.value())) {
       noteOrdered(group, token, 1);
     }
+    tokens.replace(group, token, token.afterOrder(clock.now()));
     return orders
         .promote(group, endpointId, vm, token.value())
         .onSuccess(
@@ -203,7 +234,8 @@
                   outcome);
               if (outcome == PromotionOrders.Outcome.REFUSED
                   || outcome == PromotionOrders.Outcome.UNKNOWN) {
-                tokens.remove(group, token);
+                tokens.computeIfPresent(
+                    group, (key, held) -> held.value() == token.value() ? null : held);
               }
             });
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/PromotionDeskTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/PromotionDeskTest.java
@@ -87,6 +87,48 @@
     assertThat(desk("b").promote("group", "i-1").result()).isEqualTo(Outcome.ACCEPTED);
   }
 
+  @Test
+  void should_wait_for_an_order_that_was_given_before_the_duty_changed_hands_twice() {
+    desk("a").promote("group", "i-1");
+    now += 500;
+    desk("b").prepareSoon("group", now);
+    now += 500;
+
+    assertThat(desk("c").promote("group", "i-2").result()).isEqualTo(Outcome.UNAVAILABLE);
+  }
+
+  @Test
+  void should_wait_for_an_order_whose_holder_took_a_new_token_since() {
+    PromotionDesk desk = desk("a");
+    outcome = Outcome.UNKNOWN;
+    desk.promote("group", "i-1");
+    desk.prepareSoon("group", now);
+    now += 500;
+
+    assertThat(desk("b").promote("group", "i-2").result()).isEqualTo(Outcome.UNAVAILABLE);
+  }
+
+  @Test
+  void should_not_wait_for_an_order_of_long_ago() {
+    PromotionDesk desk = desk("a");
+    desk.promote("group", "i-1");
+    now += 60_000;
+    desk.prepareSoon("group", now);
+
+    assertThat(desk("b").promote("group", "i-2").result()).isEqualTo(Outcome.ACCEPTED);
+  }
+
+  @Test
+  void should_keep_its_token_when_the_note_of_its_order_cannot_be_taken_back() {
+    PromotionDesk desk = desk("a");
+    desk.promote("group", "i-1");
+    now += 60_000;
+    store.failWith(Reason.REFUSED);
+    desk.prepareSoon("group", now);
+
+    assertThat(desk.promote("group", "i-2").result()).isEqualTo(Outcome.ACCEPTED);
+  }
+
   @Test
   void should_need_no_store_once_it_holds_the_duty() {
     PromotionDesk desk = desk("a");
