Endpoint pools free connections in one place; lost connections and broken replies are logged

Cause: the same rule (release without a transaction, else close) stood in three classes, and a broken reply, a connection lost while opening and a peer that is not reached left no log line. Change: EndpointPool.giveBack and rollBack; lines for the three errors, the last one only for the first failure of a row. No decision changes; unit tests of runtime and platform pass.

--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -59,6 +59,7 @@
   private boolean closed;
   private boolean leaving;
   private boolean failed;
+  private boolean unreached;
   private boolean wasAlive;
   private long dialledAt = Long.MIN_VALUE;
   private long lastHeard = Long.MIN_VALUE;
@@ -163,6 +164,23 @@
     }
   }
 
+  /**
+   * Only the first failure of a row is logged; attempts go on for as long as the peer is listed.
+   */
+  private void noteUnreached(Throwable error) {
+    if (!unreached) {
+      log.log(
+          EventKind.MEMBERSHIP,
+          "peer not reached",
+          "peer",
+          member.name(),
+          "reason",
+          String.valueOf(error.getMessage()));
+    }
+    unreached = true;
+    failed = true;
+  }
+
   private void dial(long now) {
     if (dialling || dialledAt != Long.MIN_VALUE && now - dialledAt < REDIAL_AFTER_IN_MILLISECONDS) {
       return;
@@ -175,7 +193,7 @@
         .onFailure(
             error -> {
               dialling = false;
-              failed = true;
+              noteUnreached(error);
             });
   }
 
@@ -185,6 +203,7 @@
       connected.close();
       return;
     }
+    unreached = false;
     socket = connected;
     reader = new FrameReader();
     lastHeard = clock.now();
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -18,6 +18,8 @@
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.PreparedShape;
 import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.DialectException;
 import org.toucanmast.runtime.port.EndpointDialect;
 
@@ -61,6 +63,7 @@
   private final EndpointDialect dialect;
   private final EndpointDialect.Decoder decoder;
   private final VmClock clock;
+  private final EventLog log;
   private final Runnable onClosed;
   private final Deque<Expected> expected = new ArrayDeque<>();
   private final Map<String, String> values = new HashMap<>();
@@ -76,6 +79,7 @@
       NetClient client,
       EndpointDialect dialect,
       VmClock clock,
+      EventLog log,
       EndpointEntry entry,
       String customer,
       ReplyHandler opening,
@@ -85,6 +89,7 @@
     this.dialect = dialect;
     this.decoder = dialect.decoder();
     this.clock = clock;
+    this.log = log;
     this.onClosed = onClosed;
     expected.addLast(new Expected(opening, 0, clock.now()));
     client
@@ -156,6 +161,15 @@
         }
       }
     } catch (DialectException e) {
+      log.log(
+          EventKind.PROTOCOL,
+          "connection closed after an unreadable reply",
+          "endpoint",
+          entry.id(),
+          "awaited",
+          expected.size(),
+          "reason",
+          e.getMessage());
       close();
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -12,7 +12,9 @@
 import org.toucanmast.core.gateway.ConnectionBudget;
 import org.toucanmast.core.gateway.ReplicaLag;
 import org.toucanmast.core.gateway.ServiceTimes;
+import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
+import org.toucanmast.core.statement.TransactionState;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -193,6 +195,7 @@
             client,
             dialect,
             clock,
+            log,
             entry,
             customer,
             opening(self),
@@ -245,6 +248,15 @@
     if (loss == EndpointConnection.Loss.REFUSED) {
       suspicion.refused(now);
     }
+    log.log(
+        EventKind.ENDPOINT,
+        "connection lost while opening",
+        "endpoint",
+        entry.id(),
+        "loss",
+        loss,
+        "avoidedFor",
+        pause);
     avoidedUntil = now + pause;
     pause = Math.min(LONGEST_PAUSE_IN_MILLISECONDS, pause * 2);
   }
@@ -263,6 +275,37 @@
     connection.setBusy(false);
   }
 
+  /** Gives a connection back, or closes it when a transaction is still open on it. */
+  void giveBack(EndpointConnection connection, TransactionState state) {
+    if (state == TransactionState.NONE) {
+      release(connection);
+    } else {
+      connection.close();
+    }
+  }
+
+  /**
+   * Rolls back the transaction on a connection.
+   *
+   * @param freed called once the connection serves others again
+   */
+  void rollBack(EndpointConnection connection, Runnable freed) {
+    connection.exchange(
+        List.of(new EndpointCommand.Rollback()),
+        new EndpointConnection.ReplyHandler() {
+          @Override
+          public void onReply(int index, EndpointReply reply) {
+            giveBack(connection, reply.state());
+            freed.run();
+          }
+
+          @Override
+          public void onLost(int index, EndpointConnection.Loss loss, boolean sent) {
+            // The endpoint rolls back what a closed connection left open.
+          }
+        });
+  }
+
   void startStatement() {
     running++;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -288,7 +288,7 @@
 
   private void rollBack(OpenTransaction transaction) {
     transactions.remove(transaction);
-    keeper.rollBack(transaction.pool(), transaction.connection());
+    transaction.pool().rollBack(transaction.connection(), this::pump);
   }
 
   /** Repeats what seems lost and ends what has run out of time. */
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -16,7 +16,6 @@
 import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.ResultCode;
-import org.toucanmast.core.statement.TransactionState;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.port.DialectException;
 import org.toucanmast.runtime.port.EndpointStatus;
@@ -62,6 +61,7 @@
   /** First guess of the time from an order to the new primary's first answer. */
   private static final double FIRST_CHANGE_IN_MILLISECONDS = 600;
 
+  /** Weight of the newest change of primary in the estimate; changes are rare and alike. */
   private static final double CHANGE_GAIN = 0.5;
 
   private final GatewayContext context;
@@ -252,7 +252,8 @@
     boolean outstanding = unanswered.contains(id);
     boolean recent =
         askedAt != Long.MIN_VALUE
-            && now - askedAt < (outstanding ? 2 * SILENCE_IN_MILLISECONDS : askInterval());
+            && now - askedAt
+                < (outstanding ? 2 * SILENCE_IN_MILLISECONDS : SEARCH_INTERVAL_IN_MILLISECONDS);
     if (recent) {
       return;
     }
@@ -270,10 +271,6 @@
             new Question(pool, connection.get(), now));
   }
 
-  private long askInterval() {
-    return SEARCH_INTERVAL_IN_MILLISECONDS;
-  }
-
   /** The question whether an endpoint leads. */
   private final class Question implements EndpointConnection.ReplyHandler {
     private final EndpointPool pool;
@@ -294,11 +291,9 @@
         unanswered.remove(pool.entry().id());
         pool.suspicion().answered();
         LeaderKeeper.this.onReply(pool, reply, askedAt, begun);
-      } else if (reply.state() == TransactionState.NONE) {
-        pool.release(connection);
-        onLeader.run();
       } else {
-        connection.close();
+        pool.giveBack(connection, reply.state());
+        onLeader.run();
       }
     }
 
@@ -405,26 +400,4 @@
               }
             });
   }
-
-  /** Rolls a transaction back and frees its connection. */
-  void rollBack(EndpointPool pool, EndpointConnection connection) {
-    connection.exchange(
-        List.of(new EndpointCommand.Rollback()),
-        new EndpointConnection.ReplyHandler() {
-          @Override
-          public void onReply(int index, EndpointReply reply) {
-            if (reply.state() == TransactionState.NONE) {
-              pool.release(connection);
-              onLeader.run();
-            } else {
-              connection.close();
-            }
-          }
-
-          @Override
-          public void onLost(int index, EndpointConnection.Loss loss, boolean sent) {
-            // The endpoint rolls back what a closed connection left open.
-          }
-        });
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementOutcomes.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementOutcomes.java
@@ -58,7 +58,7 @@
   @Override
   public void onBeginRefused(StatementRun run, EndpointReply reply) {
     ended(run);
-    freeOrClose(run, reply);
+    run.pool().giveBack(run.connection(), reply.state());
     keeper.onReply(run.pool(), reply, run.startedAt(), false);
     again(run, reply.code());
     pump.run();
@@ -84,7 +84,7 @@
       onTransactionReply(run, reply, now);
     } else {
       if (!run.isWrapped()) {
-        freeOrClose(run, reply);
+        run.pool().giveBack(run.connection(), reply.state());
       }
       onLoneReply(run, reply);
     }
@@ -135,7 +135,7 @@
     if (request.operation() == Operation.COMMIT) {
       known.ifPresent(transactions::remove);
       if (reply.isSuccess()) {
-        freeOrClose(run, reply);
+        run.pool().giveBack(run.connection(), reply.state());
       } else {
         run.connection().close();
       }
@@ -203,7 +203,7 @@
 
   @Override
   public void onWrapperEnded(StatementRun run, EndpointReply reply) {
-    freeOrClose(run, reply);
+    run.pool().giveBack(run.connection(), reply.state());
     pump.run();
   }
 
@@ -211,12 +211,4 @@
     running.remove(run);
     run.statement().attemptEnded();
   }
-
-  private void freeOrClose(StatementRun run, EndpointReply reply) {
-    if (reply.state() == TransactionState.NONE) {
-      run.pool().release(run.connection());
-    } else {
-      run.connection().close();
-    }
-  }
 }
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointConnectionTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointConnectionTest.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import java.io.OutputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +16,7 @@
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.PreparedShape;
 import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.EndpointDialect;
 import org.toucanmast.runtime.port.EndpointStatus;
 
@@ -25,6 +27,7 @@
           vertx.createNetClient(),
           new SilentDialect(),
           new VmClock(),
+          new EventLog("vm", OutputStream.nullOutputStream()),
           new EndpointEntry("i-1", "group", "127.0.0.1", 1, "a", 3, false, true, 1),
           "customer",
           new IgnoredReplies(),
