Gateways close connections that nobody uses; a former gateway does so after a second

Cause: a VM that was gateway for a while (others restarting in turn) kept its connections for good, idle. Ruled out: a smaller budget for the gateway itself (it held 15 and 10 of 21, which leaves room). Change: a pool closes what was not used for 15 s, and for 1 s where another VM is first choice. Tests: EndpointPoolTest, two, red before.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -91,6 +91,7 @@
     this.clock = clock;
     this.log = log;
     this.onClosed = onClosed;
+    this.lastUsed = clock.now();
     expected.addLast(new Expected(opening, 0, clock.now()));
     client
         .connect(entry.port(), entry.host())
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -314,6 +314,23 @@
     running--;
   }
 
+  /**
+   * Closes the connections that serve nothing and were not used for a while: the endpoint counts
+   * them, and other VMs may need the room.
+   */
+  void closeIdle(long unusedForMilliseconds) {
+    long before = clock.now() - unusedForMilliseconds;
+    connections.stream()
+        .filter(connection -> !connection.isBusy() && connection.lastUsed() <= before)
+        .toList()
+        .forEach(EndpointConnection::close);
+  }
+
+  /** Returns how many connections are open, or being opened. */
+  int open() {
+    return connections.size();
+  }
+
   /** Closes all connections. */
   void close() {
     List.copyOf(connections).forEach(EndpointConnection::close);
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -39,6 +39,12 @@
   /** How long an unanswered connection is kept after the statement's time has run out. */
   private static final long KEEP_UNANSWERED_IN_MILLISECONDS = 2_000;
 
+  /** Connections that no statement used for this long are closed. */
+  private static final long KEEP_IDLE_IN_MILLISECONDS = 15_000;
+
+  /** The same where another VM is the first choice, which needs the room at the endpoints. */
+  private static final long KEEP_IDLE_ELSEWHERE_IN_MILLISECONDS = 1_000;
+
   private final GatewayContext context;
   private final String group;
   private final Map<String, EndpointPool> pools = new HashMap<>();
@@ -302,6 +308,11 @@
     expirePinned(now);
     transactions.idleFor(context.idleTransactionMilliseconds(), now).forEach(this::rollBack);
     keeper.sweep(now, active, queues.hasForPrimary());
+    long keepIdle =
+        context.isFirstGateway(group)
+            ? KEEP_IDLE_IN_MILLISECONDS
+            : KEEP_IDLE_ELSEWHERE_IN_MILLISECONDS;
+    pools.values().forEach(pool -> pool.closeIdle(keepIdle));
     pump();
   }
 
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointConnectionTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointConnectionTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import java.io.OutputStream;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
@@ -17,8 +15,6 @@
 import org.toucanmast.core.statement.PreparedShape;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
-import org.toucanmast.runtime.port.EndpointDialect;
-import org.toucanmast.runtime.port.EndpointStatus;
 
 class EndpointConnectionTest {
   private final Vertx vertx = Vertx.vertx();
@@ -33,24 +29,6 @@
           new IgnoredReplies(),
           () -> {});
 
-  /** A dialect that says nothing. */
-  private static final class SilentDialect implements EndpointDialect {
-    @Override
-    public Decoder decoder() {
-      return bytes -> List.of();
-    }
-
-    @Override
-    public Buffer encode(EndpointCommand command) {
-      return Buffer.buffer();
-    }
-
-    @Override
-    public EndpointStatus status(EndpointReply reply) {
-      throw new UnsupportedOperationException();
-    }
-  }
-
   private static final class IgnoredReplies implements EndpointConnection.ReplyHandler {
     @Override
     public void onReply(int index, EndpointReply reply) {}
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
 import java.io.OutputStream;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.freshness.PositionHistory;
@@ -16,10 +20,63 @@
     return new EndpointEntry("i-1", "group", "127.0.0.1", 1, "a", 3, draining, true, 1);
   }
 
+  private final Vertx vertx = Vertx.vertx();
+
   private EndpointPool pool(EndpointEntry entry) {
     EventLog log = new EventLog("vm", OutputStream.nullOutputStream());
     return new EndpointPool(
-        null, null, new VmClock(() -> now, () -> now), log, new PositionHistory(1_000), entry, 12);
+        vertx.createNetClient(),
+        new SilentDialect(),
+        new VmClock(() -> now, () -> now),
+        log,
+        new PositionHistory(1_000),
+        entry,
+        12);
+  }
+
+  @AfterEach
+  void close() {
+    vertx.close();
+  }
+
+  /** A server that accepts connections and never answers. */
+  private EndpointEntry silentEndpoint() throws Exception {
+    NetServer server =
+        vertx
+            .createNetServer()
+            .connectHandler(socket -> {})
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get();
+    return new EndpointEntry(
+        "i-1", "group", "127.0.0.1", server.actualPort(), "a", 3, false, true, 1);
+  }
+
+  @Test
+  void should_close_connections_that_nobody_used_for_long() throws Exception {
+    EndpointPool pool = pool(silentEndpoint());
+    EndpointConnection connection = pool.acquire("customer", Map.of()).orElseThrow();
+    pool.release(connection);
+    now += 1_000;
+    pool.closeIdle(2_000);
+
+    assertThat(pool.open()).isOne();
+
+    now += 1_000;
+    pool.closeIdle(2_000);
+
+    assertThat(pool.open()).isZero();
+  }
+
+  @Test
+  void should_keep_connections_that_are_in_use() throws Exception {
+    EndpointPool pool = pool(silentEndpoint());
+    pool.acquire("customer", Map.of()).orElseThrow();
+    now += 60_000;
+    pool.closeIdle(2_000);
+
+    assertThat(pool.open()).isOne();
   }
 
   @Test
