A VM that has just started waits longer for the keeper of an allowance; refusals say why

Ruled out: the burst given late (log line 'filled after a restart of all VMs': at 36.02 to 36.06 s, before most refusals); 250 ms at all times (a silent keeper would hold requests). Change: 250 ms while the VM is younger than 4 s; refusals say 'used up' or 'its keeper is silent'; tokens of a grant that came too late go back, they were lost before.

--- a/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
+++ b/core/src/main/java/org/toucanmast/core/quota/KeptAllowance.java
@@ -54,13 +54,15 @@
 
   /**
    * Gives the rest of the burst, once: the whole fleet has just started, so that no earlier keeper
-   * has given any of it out while it was down.
+   * has given any of it out while it was down. Returns whether this was that once.
    */
-  public void fillAfterRestart(Allowance allowance) {
-    if (!whole) {
-      whole = true;
-      first += (int) (allowance.burst() * (1 - FIRST_TOKENS));
+  public boolean fillAfterRestart(Allowance allowance) {
+    if (whole) {
+      return false;
     }
+    whole = true;
+    first += (int) (allowance.burst() * (1 - FIRST_TOKENS));
+    return true;
   }
 
   /** Takes tokens; returns how many were taken. */
--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
@@ -16,6 +16,8 @@
   LEADER(50),
   /** A promotion was considered, ordered or answered. */
   PROMOTION(50),
+  /** A customer's allowance is kept elsewhere, or was filled. */
+  ALLOWANCE(50),
   /** Clocks disagree. */
   CLOCK(10),
   /** A request was refused or failed. */
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -349,7 +349,7 @@
           .admit(
               customer.get(),
               () -> onAdmitted(() -> next.accept(route.get(), customer.get())),
-              () ->
+              refusal ->
                   onAdmitted(
                       () ->
                           fail(
@@ -357,7 +357,9 @@
                               ResultCode.BUSY,
                               "the allowance of customer "
                                   + customer.get().name()
-                                  + " is used up: "
+                                  + " "
+                                  + refusal.text()
+                                  + ": "
                                   + customer.get().allowance())));
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -8,12 +8,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.toucanmast.core.allowance.AskBatcher;
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.membership.Rendezvous;
 import org.toucanmast.core.quota.KeptAllowance;
 import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.fleet.FleetLinks;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenCount;
@@ -31,18 +34,41 @@
   /** How long an operation waits for a token of the keeper, in milliseconds: many round trips. */
   private static final long ASK_LIFE_IN_MILLISECONDS = 60;
 
+  /** The same while this VM has just started, and with it perhaps all: code is slow at first. */
+  private static final long FIRST_ASK_LIFE_IN_MILLISECONDS = 250;
+
   /** A VM lends its part for this long after a pulse that says so; some pulses may be lost. */
   private static final long LENT_FOR_IN_MILLISECONDS = 500;
 
   /** VMs that run for less than this count as just started; a kill of all takes a second or two. */
   private static final long RESTART_IN_MILLISECONDS = 4_000;
 
-  private record Waiting(Runnable onAdmitted, Runnable onRefused) {}
+  /** Why an operation got no token. */
+  enum Refusal {
+    /** The customer has sent what it may. */
+    USED_UP("is used up"),
+    /** The VM that keeps the allowance did not answer in time. */
+    KEEPER_SILENT("is not known, its keeper is silent");
+
+    private final String text;
+
+    Refusal(String text) {
+      this.text = text;
+    }
+
+    /** Returns the end of a sentence that begins with the allowance. */
+    String text() {
+      return text;
+    }
+  }
+
+  private record Waiting(Runnable onAdmitted, Consumer<Refusal> onRefused) {}
 
   private record Loan(int lots, long startedAt, long at) {}
 
   private final Vertx vertx;
   private final VmClock clock;
+  private final EventLog log;
   private final String vm;
   private final FleetLinks links;
   private final Map<String, Allowance> allowances = new HashMap<>();
@@ -55,8 +81,9 @@
   private final long startedAt;
   private boolean asking;
 
-  QuotaDesk(Vertx vertx, VmClock clock, String vm, FleetLinks links) {
+  QuotaDesk(Vertx vertx, VmClock clock, EventLog log, String vm, FleetLinks links) {
     this.vertx = vertx;
+    this.log = log;
     this.clock = clock;
     this.vm = vm;
     this.links = links;
@@ -117,8 +144,16 @@
     KeptAllowance known =
         kept.computeIfAbsent(customer, any -> new KeptAllowance(allowance, lent, now));
     known.resize(allowance, lent, now);
-    if (hasFleetRestarted(now)) {
-      known.fillAfterRestart(allowance);
+    if (hasFleetRestarted(now) && known.fillAfterRestart(allowance)) {
+      log.log(
+          EventKind.ALLOWANCE,
+          "filled after a restart of all VMs",
+          "customer",
+          customer,
+          "allowance",
+          allowance,
+          "lent",
+          lent);
     }
     return known;
   }
@@ -136,24 +171,29 @@
   }
 
   /** Asks for one operation of a customer; one of the two is called, perhaps at once. */
-  void admit(Customer customer, Runnable onAdmitted, Runnable onRefused) {
+  void admit(Customer customer, Runnable onAdmitted, Consumer<Refusal> onRefused) {
     long now = clock.now();
     String keeper = keepers[lot(customer.name())];
     if (keeper.equals(vm)) {
       int taken = keep(customer.name(), customer.allowance(), now).take(1, now);
-      (taken == 1 ? onAdmitted : onRefused).run();
+      if (taken == 1) {
+        onAdmitted.run();
+      } else {
+        onRefused.accept(Refusal.USED_UP);
+      }
       return;
     }
     askers
-        .computeIfAbsent(keeper, any -> new AskBatcher<>(ASK_LIFE_IN_MILLISECONDS))
-        .add(
-            customer.name(),
-            new Waiting(onAdmitted, onRefused),
-            now,
-            now + ASK_LIFE_IN_MILLISECONDS);
+        .computeIfAbsent(keeper, any -> new AskBatcher<>(FIRST_ASK_LIFE_IN_MILLISECONDS))
+        .add(customer.name(), new Waiting(onAdmitted, onRefused), now, now + askLife(now));
     sendSoon();
   }
 
+  private long askLife(long now) {
+    boolean isNew = now - startedAt < RESTART_IN_MILLISECONDS;
+    return isNew ? FIRST_ASK_LIFE_IN_MILLISECONDS : ASK_LIFE_IN_MILLISECONDS;
+  }
+
   private void sendSoon() {
     if (!asking) {
       asking = true;
@@ -211,15 +251,16 @@
     }
     Map<String, Integer> granted = new HashMap<>();
     grant.getGrantsList().forEach(item -> granted.put(item.getCustomer(), item.getCount()));
-    List<Waiting> admitted = asker.onGrant(grant.getAskId(), granted, clock.now()).admitted();
+    AskBatcher.Granted<Waiting> outcome = asker.onGrant(grant.getAskId(), granted, clock.now());
+    outcome.unused().forEach((customer, count) -> returnLater(keeper, customer, count));
     List<Waiting> refused = new ArrayList<>();
     for (String customer : granted.keySet()) {
       for (int missing = asker.missing(customer); missing > 0; missing--) {
         refused.add(asker.next(customer));
       }
     }
-    admitted.forEach(item -> item.onAdmitted().run());
-    refused.forEach(item -> item.onRefused().run());
+    outcome.admitted().forEach(item -> item.onAdmitted().run());
+    refused.forEach(item -> item.onRefused().accept(Refusal.USED_UP));
   }
 
   /** Gives back the token of an operation that did not run. */
@@ -228,13 +269,15 @@
     if (keeper.equals(vm)) {
       onReturned(customer.name(), 1);
     } else {
-      unused
-          .computeIfAbsent(keeper, any -> new HashMap<>())
-          .merge(customer.name(), 1, Integer::sum);
-      sendSoon();
+      returnLater(keeper, customer.name(), 1);
     }
   }
 
+  private void returnLater(String keeper, String customer, int count) {
+    unused.computeIfAbsent(keeper, any -> new HashMap<>()).merge(customer, count, Integer::sum);
+    sendSoon();
+  }
+
   /** Takes tokens back that another VM did not use. */
   void onReturn(TokenReturn returned) {
     returned.getReturnedList().forEach(item -> onReturned(item.getCustomer(), item.getCount()));
@@ -252,7 +295,7 @@
     long now = clock.now();
     for (AskBatcher<Waiting> asker : List.copyOf(askers.values())) {
       asker.expireAsks(now);
-      asker.expireRequests(now).forEach(item -> item.onRefused().run());
+      asker.expireRequests(now).forEach(item -> item.onRefused().accept(Refusal.KEEPER_SILENT));
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -142,7 +142,7 @@
             incarnation);
     this.router = new GatewayRouter();
     context.setFirstGateway(group -> router.isFirst(group, settings.name()));
-    this.quota = new QuotaDesk(vertx, clock, settings.name(), links);
+    this.quota = new QuotaDesk(vertx, clock, log, settings.name(), links);
     this.sessions =
         new SessionContext(
             ports.callers(),
