A line for each request that failed or was slow at its gateway, with what the gateway knew

Cause: the session's line gave a code and a reason, but not how long the statement waited and ran, at which endpoints, whether a primary was known, or which VM was the gateway; a late success left no line at all (successes are sampled, 2 a second). Change: REQUEST_AT_GATEWAY (100 a second) and REQUEST_SLOW (200 ms or more, 50 a second).

--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
@@ -22,6 +22,10 @@
   CLOCK(10),
   /** A request was refused or failed. */
   REQUEST_FAILED(100),
+  /** A request failed or was slow at its group's gateway, with what the gateway knew. */
+  REQUEST_AT_GATEWAY(100),
+  /** A request succeeded and took long. */
+  REQUEST_SLOW(50),
   /** A request was sent again or to another endpoint. */
   REQUEST_MOVED(50),
   /** A request succeeded; a sample. */
--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
@@ -17,6 +17,9 @@
  * out. A full ring drops lines, and the next line states that, too.
  */
 public final class EventLog {
+  /** A statement that takes this long gets a line of its own: several times a usual one. */
+  public static final long SLOW_IN_MILLISECONDS = 200;
+
   /** Lines that wait for the writer; some 200 bytes each. */
   private static final int RING_CAPACITY = 2_048;
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -56,6 +56,7 @@
   private final StatementQueues queues;
   private final ReadPlacement placement;
   private final StatementOutcomes outcomes;
+  private final StatementRecorder recorder;
   private PendingStatement nextRead;
   private long lastActive = Long.MIN_VALUE / 2;
   private boolean pumping;
@@ -67,6 +68,7 @@
     this.keeper = new LeaderKeeper(context, group, pools, history, this::pump);
     this.queues = new StatementQueues(context, pools, keeper);
     this.placement = new ReadPlacement(pools, history, keeper);
+    this.recorder = new StatementRecorder(context, group, keeper);
     this.outcomes =
         new StatementOutcomes(
             context,
@@ -133,7 +135,15 @@
   public void execute(StatementRequest request, String caller, Consumer<StatementResult> consumer) {
     long now = context.clock().now();
     lastActive = now;
-    PendingStatement statement = new PendingStatement(request, caller, now, consumer);
+    PendingStatement statement =
+        new PendingStatement(
+            request,
+            caller,
+            now,
+            (ended, result) -> {
+              recorder.onEnded(ended, result, queues.size());
+              consumer.accept(result);
+            });
     repeats.earn();
     if (request.transaction() != StatementRequest.NO_TRANSACTION) {
       continueTransaction(statement, now);
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LeaderKeeper.java
@@ -124,6 +124,12 @@
     return outageSince == Long.MAX_VALUE ? 0 : Outage.remaining(now - outageSince, changeTime);
   }
 
+  /** Returns for how long no primary could be used, in milliseconds; 0 when one can. */
+  long withoutLeaderFor(long now) {
+    noteOutage(now);
+    return outageSince == Long.MAX_VALUE ? 0 : now - outageSince;
+  }
+
   private void noteOutage(long now) {
     boolean reachable =
         leader().filter(pool -> pool.isReachable(now) && pool.mayLead(now)).isPresent();
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
@@ -2,7 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
@@ -10,7 +10,7 @@
 /** A statement at its gateway, from its arrival to its result. */
 final class PendingStatement {
   private final StatementRequest request;
-  private final Consumer<StatementResult> consumer;
+  private final BiConsumer<PendingStatement, StatementResult> consumer;
   private final String caller;
   private final long arrivedAt;
   private final long deadline;
@@ -27,7 +27,10 @@
    * @param caller the VM that sent it, so that its transactions can be ended with it
    */
   PendingStatement(
-      StatementRequest request, String caller, long now, Consumer<StatementResult> consumer) {
+      StatementRequest request,
+      String caller,
+      long now,
+      BiConsumer<PendingStatement, StatementResult> consumer) {
     this.request = request;
     this.caller = caller;
     this.consumer = consumer;
@@ -80,6 +83,11 @@
     return tried.contains(endpointId);
   }
 
+  /** Returns the endpoints that it was started at. */
+  Set<String> tried() {
+    return Set.copyOf(tried);
+  }
+
   int attempts() {
     return attempts;
   }
@@ -100,7 +108,7 @@
   void finish(StatementResult result) {
     if (!done) {
       done = true;
-      consumer.accept(result);
+      consumer.accept(this, result);
     }
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementQueues.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementQueues.java
@@ -84,6 +84,11 @@
     return reads.poll(now);
   }
 
+  /** Returns how many statements wait. */
+  int size() {
+    return primary.size() + reads.size();
+  }
+
   boolean hasForPrimary() {
     return primary.size() > 0;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
@@ -8,6 +8,7 @@
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.core.statement.TransactionState;
 import org.toucanmast.runtime.events.EventKind;
+import org.toucanmast.runtime.events.EventLog;
 
 /** Writes a session's answers to its caller, and a log line for each that matters. */
 final class SessionWriter {
@@ -62,6 +63,24 @@
   }
 
   private void logSuccess(StatementRequest request, long milliseconds) {
+    if (milliseconds >= EventLog.SLOW_IN_MILLISECONDS) {
+      context.log().log(
+          EventKind.REQUEST_SLOW,
+          "slow",
+          "request",
+          request.requestId(),
+          "group",
+          request.group(),
+          "customer",
+          request.customer(),
+          "operation",
+          request.operation(),
+          "milliseconds",
+          milliseconds,
+          "configuration",
+          context.catalog().version());
+      return;
+    }
     context.log().log(
         EventKind.REQUEST_SERVED,
         "served",
