--- a/cli/src/main/java/org/toucanmast/cli/Main.java
+++ b/cli/src/main/java/org/toucanmast/cli/Main.java
@@ -23,7 +23,8 @@
       DataCentreCommand.class,
       EndpointCommand.class,
       GroupCommand.class,
-      StatusCommand.class
+      StatusCommand.class,
+      ExplainCommand.class
     })
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
--- /dev/null
+++ b/cli/src/test/java/org/toucanmast/cli/explain/ExplanationTest.java
@@ -0,0 +1,148 @@
+package org.toucanmast.cli.explain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplanationTest {
+  private static final String CONFIGURATION =
+      "{\"time\":1000,\"vm\":\"vm-1\",\"kind\":\"CONFIGURATION\",\"event\":\"configuration in"
+          + " force\",\"version\":3}";
+  private static final String LEADER =
+      "{\"time\":4000,\"vm\":\"vm-2\",\"kind\":\"LEADER\",\"event\":\"leader\",\"group\":\"g\","
+          + "\"endpoint\":\"none\",\"term\":4}";
+  private static final String OTHER_LEADER =
+      "{\"time\":4000,\"vm\":\"vm-2\",\"kind\":\"LEADER\",\"event\":\"leader\",\"group\":\"h\","
+          + "\"endpoint\":\"i-9\",\"term\":1}";
+  private static final String AT_GATEWAY =
+      "{\"time\":5010,\"vm\":\"vm-2\",\"kind\":\"REQUEST_AT_GATEWAY\",\"event\":\"failed at"
+          + " gateway\",\"request\":\"r1\",\"group\":\"g\",\"code\":\"BUSY\",\"attempts\":0,"
+          + "\"without_leader\":900}";
+  private static final String FAILED =
+      "{\"time\":5000,\"vm\":\"vm-1\",\"kind\":\"REQUEST_FAILED\",\"event\":\"failed\","
+          + "\"request\":\"r1\",\"group\":\"g\",\"code\":\"BUSY\",\"reason\":\"expected wait"
+          + " exceeds the time left\",\"configuration\":3}";
+
+  @TempDir private Path directory;
+
+  private LogFiles logs(String... lines) throws IOException {
+    Path file = Files.writeString(directory.resolve("vm.log"), String.join("\n", lines));
+    return LogFiles.read(List.of(file));
+  }
+
+  private Explanation explain(String... lines) throws IOException {
+    return Explanation.of("r1", logs(lines)).orElseThrow();
+  }
+
+  private static String outcome(String kind, String fields) {
+    return "{\"time\":5000,\"vm\":\"vm-1\",\"kind\":\""
+        + kind
+        + "\",\"event\":\"x\",\"request\":\"r1\","
+        + fields
+        + "}";
+  }
+
+  @Test
+  void should_name_the_missing_primary_behind_an_expected_wait() throws IOException {
+    Explanation explanation = explain(CONFIGURATION, LEADER, FAILED, AT_GATEWAY);
+
+    assertThat(explanation.cause()).contains(Cause.NO_PRIMARY);
+  }
+
+  @Test
+  void should_put_the_outcome_last_when_its_clock_is_behind() throws IOException {
+    Explanation explanation = explain(FAILED, AT_GATEWAY);
+
+    assertThat(explanation.lines())
+        .extracting(LogLine::kind)
+        .containsExactly("REQUEST_AT_GATEWAY", "REQUEST_FAILED");
+  }
+
+  @Test
+  void should_state_the_beliefs_of_the_vms_that_handled_it() throws IOException {
+    Explanation explanation = explain(CONFIGURATION, LEADER, OTHER_LEADER, FAILED, AT_GATEWAY);
+
+    assertThat(explanation.beliefs())
+        .extracting(LogLine::details)
+        .containsExactly("version 3", "endpoint none, group g, term 4");
+  }
+
+  @Test
+  void should_show_what_happened_to_the_group_before() throws IOException {
+    Explanation explanation = explain(LEADER, OTHER_LEADER, FAILED, AT_GATEWAY);
+
+    assertThat(explanation.around()).extracting(line -> line.field("group")).containsExactly("g");
+  }
+
+  @Test
+  void should_tell_a_used_up_allowance_from_a_silent_keeper() throws IOException {
+    assertThat(
+            explain(
+                    outcome(
+                        "REQUEST_FAILED",
+                        "\"code\":\"BUSY\",\"reason\":\"the allowance of customer c is used up\""))
+                .cause())
+        .contains(Cause.ALLOWANCE_USED_UP);
+    assertThat(
+            explain(
+                    outcome(
+                        "REQUEST_FAILED",
+                        "\"code\":\"BUSY\",\"reason\":\"the allowance of customer c is not known,"
+                            + " its keeper is silent\""))
+                .cause())
+        .contains(Cause.KEEPER_SILENT);
+  }
+
+  @Test
+  void should_tell_waiting_from_running_in_a_slow_request() throws IOException {
+    String slow = outcome("REQUEST_SLOW", "\"milliseconds\":900");
+    String waited = AT_GATEWAY.replace("\"without_leader\":900", "\"waited\":800,\"ran\":90");
+    String ran = AT_GATEWAY.replace("\"without_leader\":900", "\"waited\":5,\"ran\":880");
+
+    assertThat(explain(slow, waited).cause()).contains(Cause.WAITED);
+    assertThat(explain(slow, ran).cause()).contains(Cause.ENDPOINT_SLOW);
+    assertThat(explain(slow).cause()).contains(Cause.LINK_SLOW);
+  }
+
+  @Test
+  void should_explain_nothing_when_no_line_names_the_request() throws IOException {
+    assertThat(Explanation.of("r2", logs(FAILED))).isEmpty();
+  }
+
+  @Test
+  void should_claim_no_cause_that_the_lines_do_not_show() throws IOException {
+    Explanation explanation =
+        explain(outcome("REQUEST_FAILED", "\"code\":\"FAILED\",\"reason\":\"disk full\""));
+
+    assertThat(explanation.cause()).isEmpty();
+  }
+
+  @Test
+  void should_count_broken_and_cut_lines_and_read_the_others() throws IOException {
+    LogFiles logs =
+        logs(
+            FAILED.substring(0, 60),
+            "not a line",
+            "",
+            "{\"time\":\"now\",\"vm\":\"vm-1\",\"kind\":\"LEADER\",\"event\":\"x\"}",
+            "  35.22 vm-1 " + FAILED);
+
+    assertThat(logs.unreadable()).isEqualTo(3);
+    assertThat(logs.lines()).hasSize(1);
+  }
+
+  @Test
+  void should_read_on_behind_bytes_that_are_no_text() throws IOException {
+    Path file = directory.resolve("broken.log");
+    Files.write(file, new byte[] {(byte) 0xc3, (byte) 0x28, '\n'});
+    Files.writeString(file, FAILED, StandardOpenOption.APPEND);
+
+    assertThat(LogFiles.read(List.of(file)).lines()).hasSize(1);
+  }
+}
