Admission judges a customer's pace by services only, and a statement's time without the opening

The first interval of a customer's pace was the time before the first service (up to 300 ms), times its backlog; and the first statements' times held the opening of connections. Ruled out: endpoints full in fact (queue 95 at 37.0 s, 1 at 37.4 s); CONNECTION_LIMIT (0 to 8 lines since former gateways close theirs). Change: the pace counts from eight services on, without the time before the first; a statement's time begins when the endpoint has accepted the connection.

--- a/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
@@ -26,6 +26,9 @@
   /** Weight of the newest interval between two statements of a customer. */
   private static final double GAIN = 1.0 / 8;
 
+  /** A pace is not judged by fewer services than its average spans: single intervals vary much. */
+  private static final int SERVICES_FOR_A_PACE = (int) (1 / GAIN);
+
   private record Waiting<T>(String customer, T item) {}
 
   /** One priority. */
@@ -38,15 +41,21 @@
   private static final class Drain {
     private long servedAt;
     private double interval;
+    private int services;
 
-    private Drain(long now) {
-      this.servedAt = now;
-    }
-
+    /** The time before the first service says when endpoints could be used, not how fast. */
     private void served(long now) {
       double sample = now - servedAt;
-      interval = interval == 0 ? sample : interval + GAIN * (sample - interval);
       servedAt = now;
+      services++;
+      if (services > 1) {
+        interval += Math.max(GAIN, 1.0 / (services - 1)) * (sample - interval);
+      }
+    }
+
+    /** Returns the time from one service to the next; 0 while too few were seen. */
+    private double interval() {
+      return services < SERVICES_FOR_A_PACE ? 0 : interval;
     }
   }
 
@@ -59,7 +68,7 @@
     if (!lane.queue.offer(customer, new Waiting<>(customer, item), EQUAL_COST)) {
       return false;
     }
-    lane.drains.computeIfAbsent(customer, any -> new Drain(now));
+    lane.drains.computeIfAbsent(customer, any -> new Drain());
     size++;
     return true;
   }
@@ -119,7 +128,7 @@
   public double backlogTime(int priority, String customer) {
     Lane<T> lane = lanes.get(priority);
     Drain drain = lane == null ? null : lane.drains.get(customer);
-    return drain == null ? 0 : (lane.queue.waiting(customer) + 1) * drain.interval;
+    return drain == null ? 0 : (lane.queue.waiting(customer) + 1) * drain.interval();
   }
 
   /** Returns the number of waiting statements. */
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -74,6 +74,7 @@
   private boolean closed;
   private boolean busy;
   private long lastUsed;
+  private long openedAt;
 
   EndpointConnection(
       NetClient client,
@@ -125,6 +126,7 @@
 
   private void onOpened() {
     opened = true;
+    openedAt = clock.now();
     if (unsent.length() > 0 && !closed) {
       socket.write(unsent.copy());
     }
@@ -226,6 +228,11 @@
     return closed;
   }
 
+  /** Returns when the endpoint accepted the connection; 0 before that. */
+  long openedAt() {
+    return openedAt;
+  }
+
   long lastUsed() {
     return lastUsed;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementOutcomes.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementOutcomes.java
@@ -69,7 +69,7 @@
     long now = context.clock().now();
     ended(run);
     run.pool().suspicion().answered();
-    run.pool().serviceTimes().observe(now - run.startedAt());
+    run.pool().serviceTimes().observe(now - run.sentAt());
     StatementRequest request = run.statement().request();
     boolean provesLead =
         reply.isSuccess()
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementRun.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementRun.java
@@ -188,4 +188,12 @@
   long startedAt() {
     return startedAt;
   }
+
+  /**
+   * Returns since when the endpoint could work on it: the opening of a connection is not part of a
+   * statement's time, and after a restart of all VMs would make every queue look hopeless.
+   */
+  long sentAt() {
+    return Math.max(startedAt, connection.openedAt());
+  }
 }
