A log line's fields cannot hide its kind

Cause: failed statements were logged with a field 'kind' (of the route), a second key of that name in the object; readers took it for the kind of the line, so that explain did not find them. Found when picking requests to explain. Change: the field is 'route'; names of common fields get a suffix. Test: EventLogTest, red before.

--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 
@@ -23,6 +24,8 @@
   /** Lines that wait for the writer; some 200 bytes each. */
   private static final int RING_CAPACITY = 2_048;
 
+  private static final Set<String> COMMON = Set.of("time", "vm", "kind", "event");
+
   private static final long SECOND_IN_MILLISECONDS = 1_000;
 
   private final BlockingQueue<String> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
@@ -79,7 +82,7 @@
       line.writeStringField("kind", kind.name());
       line.writeStringField("event", what);
       for (int index = 0; index + 1 < fields.length; index += 2) {
-        writeField(line, String.valueOf(fields[index]), fields[index + 1]);
+        writeField(line, nameOf(fields[index]), fields[index + 1]);
       }
       if (leftOut[kind.ordinal()] > 0) {
         line.writeNumberField("left_out", leftOut[kind.ordinal()]);
@@ -94,6 +97,12 @@
     return text.append('\n').toString();
   }
 
+  /** A field named like a common one would hide that one from readers. */
+  private static String nameOf(Object field) {
+    String name = String.valueOf(field);
+    return COMMON.contains(name) ? name + "_of_request" : name;
+  }
+
   private static void writeField(JsonGenerator line, String name, Object value) throws IOException {
     line.writeFieldName(name);
     if (value instanceof Long || value instanceof Integer) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
@@ -104,7 +104,7 @@
         request.customer(),
         "operation",
         request.operation(),
-        "kind",
+        "route",
         request.kind(),
         "code",
         result.code(),
--- a/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
@@ -49,6 +49,18 @@
         .contains("\"vm\":\"vm-1\"", "\"kind\":\"LEADER\"", "\"term\":4", "\"known\":true");
   }
 
+  @Test
+  void should_not_let_a_field_hide_the_kind_of_the_line() {
+    StuckOutput out = new StuckOutput();
+    out.open.countDown();
+    new EventLog("vm-1", out).log(EventKind.REQUEST_FAILED, "failed", "kind", "PRIMARY");
+
+    await().untilAsserted(() -> assertThat(out.text()).endsWith("\n"));
+    assertThat(out.text())
+        .containsOnlyOnce("\"kind\":")
+        .contains("\"kind\":\"REQUEST_FAILED\"", "\"kind_of_request\":\"PRIMARY\"");
+  }
+
   @Test
   @Timeout(30)
   void should_never_wait_for_a_reader_that_does_not_read() {
