--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
@@ -16,7 +16,7 @@
   LEADER(50),
   /** A promotion was considered, ordered or answered. */
   PROMOTION(50),
-  /** A customer's allowance is kept elsewhere, or was filled. */
+  /** A customer's allowance was filled. */
   ALLOWANCE(50),
   /** Clocks disagree. */
   CLOCK(10),
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -255,7 +255,7 @@
         entry.id(),
         "loss",
         loss,
-        "avoidedFor",
+        "avoided_for",
         pause);
     avoidedUntil = now + pause;
     pause = Math.min(LONGEST_PAUSE_IN_MILLISECONDS, pause * 2);
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionDesk.java
@@ -117,6 +117,7 @@
     if (running != null) {
       return running;
     }
+    Token before = tokens.get(group);
     Future<Token> started = take(group, isCalm);
     if (!started.isComplete()) {
       taking.put(group, started);
@@ -125,11 +126,25 @@
         result -> {
           taking.remove(group);
           if (result.succeeded()) {
-            tokens.put(group, result.result());
+            keep(group, before, result.result());
           }
         });
   }
 
+  /** An order that was given while the token was being taken still has to be noted. */
+  private void keep(String group, Token before, Token taken) {
+    Token current = tokens.get(group);
+    boolean hasOrderedSince = current != null && !current.equals(before);
+    if (!hasOrderedSince) {
+      tokens.put(group, taken);
+      return;
+    }
+    Token ordered = new Token(taken.value(), taken.usableFrom(), current.calmFrom());
+    tokens.put(group, ordered);
+    noted.add(ordered.value());
+    noteOrdered(group, ordered, 1);
+  }
+
   /**
    * Takes a new token.
    *
