--- a/cli/src/main/java/org/toucanmast/cli/explain/Cause.java
+++ b/cli/src/main/java/org/toucanmast/cli/explain/Cause.java
@@ -2,13 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.toucanmast.runtime.events.EventKind;
 
 /** Why a request failed or took long, as far as its own lines tell; the first that fits counts. */
 public enum Cause {
   /** The customer's allowance was used up. */
   ALLOWANCE_USED_UP(
       "The customer had sent what its allowance permits; the request ran nowhere.",
-      List.of("CONFIGURATION", "ALLOWANCE", "MEMBERSHIP")) {
+      List.of(EventKind.CONFIGURATION, EventKind.ALLOWANCE, EventKind.MEMBERSHIP)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeReason().contains("is used up");
@@ -17,7 +18,7 @@
   /** The keeper of the allowance did not answer. */
   KEEPER_SILENT(
       "The VM that keeps the customer's allowance did not answer in time; the request ran nowhere.",
-      List.of("MEMBERSHIP", "PROCESS")) {
+      List.of(EventKind.MEMBERSHIP, EventKind.PROCESS)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeReason().contains("keeper is silent");
@@ -26,7 +27,7 @@
   /** The key or the database was not in the configuration. */
   NOT_ALLOWED(
       "The configuration in force at the VM does not allow the request.",
-      List.of("CONFIGURATION")) {
+      List.of(EventKind.CONFIGURATION)) {
     @Override
     boolean fits(RequestLines lines) {
       return List.of("NO_CUSTOMER", "NO_DATABASE").contains(lines.outcomeCode());
@@ -35,7 +36,7 @@
   /** The connection to the endpoint ended before the answer. */
   CONNECTION_LOST(
       "The connection to the endpoint ended before its answer came.",
-      List.of("LEADER", "ENDPOINT", "PROMOTION")) {
+      List.of(EventKind.LEADER, EventKind.ENDPOINT, EventKind.PROMOTION)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeReason().equals("connection lost");
@@ -44,7 +45,7 @@
   /** The link to the gateway ended before the answer. */
   GATEWAY_LOST(
       "The VM that served the database group was lost before its answer came.",
-      List.of("MEMBERSHIP", "PROCESS")) {
+      List.of(EventKind.MEMBERSHIP, EventKind.PROCESS)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeReason().equals("gateway lost")
@@ -55,7 +56,7 @@
   /** No endpoint led the group. */
   NO_PRIMARY(
       "The group had no primary that could be used when the request came.",
-      List.of("LEADER", "PROMOTION", "ENDPOINT", "CONFIGURATION")) {
+      List.of(EventKind.LEADER, EventKind.PROMOTION, EventKind.ENDPOINT, EventKind.CONFIGURATION)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.atGateway().filter(line -> line.number("without_leader") > 0).isPresent();
@@ -64,7 +65,7 @@
   /** The endpoints were full. */
   FULL(
       "The endpoints were full: the request would have waited longer than its time.",
-      List.of("ENDPOINT", "LEADER")) {
+      List.of(EventKind.ENDPOINT, EventKind.LEADER)) {
     @Override
     boolean fits(RequestLines lines) {
       String reason = lines.outcomeReason();
@@ -77,7 +78,8 @@
   },
   /** The endpoint did not answer. */
   NO_ANSWER(
-      "The endpoint did not answer within the route's timeout.", List.of("ENDPOINT", "LEADER")) {
+      "The endpoint did not answer within the route's timeout.",
+      List.of(EventKind.ENDPOINT, EventKind.LEADER)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeCode().equals("TIMEOUT");
@@ -86,7 +88,7 @@
   /** The transaction had ended before. */
   TRANSACTION_ENDED(
       "The transaction had ended before: rested too long, or lost with its endpoint or gateway.",
-      List.of("LEADER", "MEMBERSHIP")) {
+      List.of(EventKind.LEADER, EventKind.MEMBERSHIP)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.outcomeCode().equals("ABORTED");
@@ -95,7 +97,7 @@
   /** It waited at the gateway. */
   WAITED(
       "Most of the time passed in the gateway's queue.",
-      List.of("ENDPOINT", "LEADER", "MEMBERSHIP")) {
+      List.of(EventKind.ENDPOINT, EventKind.LEADER, EventKind.MEMBERSHIP)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.isSlow()
@@ -108,7 +110,7 @@
   /** It ran for long. */
   ENDPOINT_SLOW(
       "Most of the time passed between sending the request to an endpoint and its answer.",
-      List.of("ENDPOINT", "LEADER")) {
+      List.of(EventKind.ENDPOINT, EventKind.LEADER)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.isSlow() && lines.atGateway().isPresent();
@@ -118,7 +120,7 @@
   LINK_SLOW(
       "It was quick at the gateway, or the gateway's line is missing: the time passed between the"
           + " VMs, or the VM itself stood still.",
-      List.of("MEMBERSHIP", "PROCESS", "CLOCK")) {
+      List.of(EventKind.MEMBERSHIP, EventKind.PROCESS, EventKind.CLOCK)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.isSlow();
@@ -126,7 +128,8 @@
   },
   /** The database itself refused it. */
   DATABASE(
-      "The endpoint ran the request, or refused it, and said so.", List.of("ENDPOINT", "LEADER")) {
+      "The endpoint ran the request, or refused it, and said so.",
+      List.of(EventKind.ENDPOINT, EventKind.LEADER)) {
     @Override
     boolean fits(RequestLines lines) {
       return lines.atGateway().filter(line -> line.number("attempts") > 0).isPresent();
@@ -134,9 +137,9 @@
   };
 
   private final String text;
-  private final List<String> evidence;
+  private final List<EventKind> evidence;
 
-  Cause(String text, List<String> evidence) {
+  Cause(String text, List<EventKind> evidence) {
     this.text = text;
     this.evidence = evidence;
   }
@@ -154,7 +157,7 @@
   }
 
   /** Returns the kinds of lines that tell more. */
-  List<String> evidence() {
+  List<EventKind> evidence() {
     return evidence;
   }
 }
--- a/cli/src/main/java/org/toucanmast/cli/explain/Explanation.java
+++ b/cli/src/main/java/org/toucanmast/cli/explain/Explanation.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.toucanmast.runtime.events.EventKind;
 
 /**
  * What logs tell about one request.
@@ -36,6 +37,9 @@
 
   private static final int MOST_AROUND = 25;
 
+  private static final List<EventKind> EVIDENCE_OF_UNKNOWN_CAUSES =
+      List.of(EventKind.LEADER, EventKind.MEMBERSHIP, EventKind.ENDPOINT, EventKind.PROCESS);
+
   /** Keeps copies. */
   public Explanation {
     lines = List.copyOf(lines);
@@ -69,7 +73,7 @@
     Map<String, LogLine> newest = new LinkedHashMap<>();
     logs.lines().stream()
         .filter(line -> vms.contains(line.vm()) && line.time() <= end)
-        .filter(line -> !line.isOf("LEADER") || line.field("group").equals(group))
+        .filter(line -> !line.isOf(EventKind.LEADER) || line.field("group").equals(group))
         .sorted(Comparator.comparingLong(LogLine::time))
         .forEach(line -> subject(line).ifPresent(subject -> newest.put(subject, line)));
     return new ArrayList<>(newest.values());
@@ -77,25 +81,26 @@
 
   /** Returns what a line states a belief about. */
   private static Optional<String> subject(LogLine line) {
-    return switch (line.kind()) {
-      case "CONFIGURATION" ->
-          line.event().equals("configuration in force")
-              ? Optional.of(line.vm() + " configuration")
-              : Optional.empty();
-      case "LEADER" -> Optional.of(line.vm() + " leader");
-      case "DEPENDENCY" -> Optional.of(line.vm() + " store " + line.field("objects"));
-      default -> Optional.empty();
-    };
+    if (line.isOf(EventKind.CONFIGURATION)) {
+      return Optional.of(line.vm() + " configuration")
+          .filter(subject -> line.event().equals("configuration in force"));
+    }
+    if (line.isOf(EventKind.LEADER)) {
+      return Optional.of(line.vm() + " leader");
+    }
+    if (line.isOf(EventKind.DEPENDENCY)) {
+      return Optional.of(line.vm() + " store " + line.field("objects"));
+    }
+    return Optional.empty();
   }
 
   private static List<LogLine> around(
       LogFiles logs, Optional<Cause> cause, RequestLines own, long end) {
-    List<String> kinds =
-        cause.map(Cause::evidence).orElse(List.of("LEADER", "MEMBERSHIP", "ENDPOINT", "PROCESS"));
+    List<EventKind> kinds = cause.map(Cause::evidence).orElse(EVIDENCE_OF_UNKNOWN_CAUSES);
     String group = own.any("group");
     List<LogLine> found =
         logs.lines().stream()
-            .filter(line -> kinds.contains(line.kind()))
+            .filter(line -> kinds.stream().anyMatch(line::isOf))
             .filter(line -> line.time() >= end - LOOK_BACK_IN_MILLISECONDS)
             .filter(line -> line.time() <= end + LOOK_AHEAD_IN_MILLISECONDS)
             .filter(line -> bearsOn(line, group))
--- a/cli/src/main/java/org/toucanmast/cli/explain/LogLine.java
+++ b/cli/src/main/java/org/toucanmast/cli/explain/LogLine.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.toucanmast.runtime.events.EventKind;
 
 /**
  * One line of a VM's log.
@@ -60,8 +61,8 @@
   }
 
   /** Returns whether the line is of a kind. */
-  boolean isOf(String wanted) {
-    return kind.equals(wanted);
+  boolean isOf(EventKind wanted) {
+    return kind.equals(wanted.name());
   }
 
   /** Returns the fields that are not named elsewhere, as text. */
--- a/cli/src/main/java/org/toucanmast/cli/explain/RequestLines.java
+++ b/cli/src/main/java/org/toucanmast/cli/explain/RequestLines.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.toucanmast.runtime.events.EventKind;
 
 /**
  * The lines of one request, in causal order: what gateways wrote, then what the caller was told.
@@ -12,9 +13,8 @@
  * @param lines never changed
  */
 record RequestLines(List<LogLine> lines) {
-  private static final List<String> OUTCOMES =
-      List.of("REQUEST_FAILED", "REQUEST_SLOW", "REQUEST_SERVED");
-  private static final String AT_GATEWAY = "REQUEST_AT_GATEWAY";
+  private static final List<EventKind> OUTCOMES =
+      List.of(EventKind.REQUEST_FAILED, EventKind.REQUEST_SLOW, EventKind.REQUEST_SERVED);
 
   RequestLines {
     lines =
@@ -24,7 +24,7 @@
   }
 
   private static boolean isOutcome(LogLine line) {
-    return OUTCOMES.contains(line.kind());
+    return OUTCOMES.stream().anyMatch(line::isOf);
   }
 
   /** Returns what the caller was told; a gateway's line stands in where that is missing. */
@@ -36,7 +36,9 @@
 
   /** Returns the last line of a gateway. */
   Optional<LogLine> atGateway() {
-    return lines.stream().filter(line -> line.isOf(AT_GATEWAY)).reduce((before, after) -> after);
+    return lines.stream()
+        .filter(line -> line.isOf(EventKind.REQUEST_AT_GATEWAY))
+        .reduce((before, after) -> after);
   }
 
   String outcomeCode() {
@@ -49,7 +51,7 @@
 
   boolean isSlow() {
     return outcome()
-        .filter(line -> line.isOf("REQUEST_SLOW") || line.event().equals("slow at gateway"))
+        .filter(line -> line.isOf(EventKind.REQUEST_SLOW) || line.event().equals("slow at gateway"))
         .isPresent();
   }
 
--- a/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
+++ b/core/src/main/java/org/toucanmast/core/gateway/WorkQueue.java
@@ -63,7 +63,7 @@
   private int size;
 
   /** Adds a statement; returns false when its customer's queue is full. */
-  public boolean offer(int priority, String customer, T item, long now) {
+  public boolean offer(int priority, String customer, T item) {
     Lane<T> lane = lanes.computeIfAbsent(priority, any -> new Lane<>());
     if (!lane.queue.offer(customer, new Waiting<>(customer, item), EQUAL_COST)) {
       return false;
--- a/core/src/test/java/org/toucanmast/core/gateway/OverloadReplayTest.java
+++ b/core/src/test/java/org/toucanmast/core/gateway/OverloadReplayTest.java
@@ -78,7 +78,7 @@
       if (admission && !Admission.admits(wait, times.mean(), (long) TIMEOUT)) {
         result.refusedAtOnce++;
       } else {
-        queue.offer(0, lane, arrival, (long) arrival.at());
+        queue.offer(0, lane, arrival);
       }
       if (arrival.at() >= servedFrom) {
         serveUntil(arrival.at(), queue, busyUntil, times, result);
--- a/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/allowance/AllowanceDuty.java
@@ -147,8 +147,7 @@
   /** Takes in a holder's answer. */
   public void onGrant(String peer, TokenGrant grant) {
     long now = clock.getAsLong();
-    Map<String, Integer> counts = new HashMap<>();
-    grant.getGrantsList().forEach(each -> counts.put(each.getCustomer(), each.getCount()));
+    Map<String, Integer> counts = TokenCounts.byCustomer(grant.getGrantsList());
     Granted<Promise<Void>> granted = batcher.onGrant(grant.getAskId(), counts, now);
     granted.admitted().forEach(Promise::complete);
     giveBack(peer, granted.unused());
@@ -162,22 +161,11 @@
 
   private void giveBack(String peer, Map<String, Integer> unused) {
     if (!unused.isEmpty()) {
-      TokenReturn message = TokenReturn.newBuilder().addAllReturned(countsOf(unused)).build();
+      TokenReturn message = TokenReturn.newBuilder().addAllReturned(TokenCounts.of(unused)).build();
       sender.test(peer, PeerMessage.newBuilder().setTokenReturn(message).build());
     }
   }
 
-  private static List<TokenCount> countsOf(Map<String, Integer> counts) {
-    return counts.entrySet().stream()
-        .map(
-            each ->
-                TokenCount.newBuilder()
-                    .setCustomer(each.getKey())
-                    .setCount(each.getValue())
-                    .build())
-        .toList();
-  }
-
   /** Asks again, gives out tokens that have come, and refuses what waited too long. */
   public void tick(long now) {
     noteChange(now);
@@ -281,7 +269,7 @@
   private void ask(String peer, List<String> customers, long now) {
     Ask ask = batcher.ask(customers, now);
     TokenAsk message =
-        TokenAsk.newBuilder().setAskId(ask.id()).addAllAsks(countsOf(ask.counts())).build();
+        TokenAsk.newBuilder().setAskId(ask.id()).addAllAsks(TokenCounts.of(ask.counts())).build();
     asks++;
     sender.test(peer, PeerMessage.newBuilder().setTokenAsk(message).build());
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -27,6 +27,7 @@
   private final PromotionDesk promotions;
   private Predicate<String> firstGateway = group -> true;
   private Catalog catalog = Catalog.EMPTY;
+  private Optional<String> anyCustomer = Optional.empty();
   private Set<String> takenOut = Set.of();
   private long lastTransaction;
 
@@ -59,6 +60,10 @@
   /** Puts a configuration in force. */
   public void setCatalog(Catalog newer) {
     catalog = newer;
+    anyCustomer =
+        newer.customersByKey().values().stream()
+            .map(customer -> customer.name())
+            .min(String::compareTo);
   }
 
   /** Sets the data centres that take no work. */
@@ -109,9 +114,7 @@
 
   /** Returns a customer under whose name the gateway may connect for its own questions. */
   Optional<String> anyCustomer() {
-    return catalog.customersByKey().values().stream()
-        .map(customer -> customer.name())
-        .min(String::compareTo);
+    return anyCustomer;
   }
 
   long nextTransaction() {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementQueues.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementQueues.java
@@ -66,9 +66,7 @@
   /** Lets a statement wait. */
   void add(PendingStatement statement) {
     StatementRequest request = statement.request();
-    boolean added =
-        queueOf(statement)
-            .offer(request.priority(), request.customer(), statement, context.clock().now());
+    boolean added = queueOf(statement).offer(request.priority(), request.customer(), statement);
     if (!added) {
       statement.refuse(ResultCode.BUSY, "too many statements of this customer wait");
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/DatabaseGroup.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.toucanmast.core.configuration.Database;
 import org.toucanmast.core.configuration.EndpointDescription;
 import org.toucanmast.core.configuration.FleetConfiguration;
@@ -249,12 +250,13 @@
    * Does what is due.
    *
    * @param candidates data centre by name of the VMs that can observe
-   * @param liveVms all VMs that may run transactions, leaving ones too
+   * @param liveVms all VMs that may run transactions, leaving ones too; asked for planned moves
+   *     only
    */
   public void tick(
       FleetConfiguration configuration,
       Map<String, String> candidates,
-      Set<String> liveVms,
+      Supplier<Set<String>> liveVms,
       long now) {
     if (!candidates.equals(observerCandidates)) {
       observerCandidates = Map.copyOf(candidates);
--- a/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/group/PromotionDuty.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.toucanmast.core.configuration.Database;
 import org.toucanmast.core.configuration.EndpointDescription;
 import org.toucanmast.core.configuration.FleetConfiguration;
@@ -110,7 +111,7 @@
       FleetConfiguration configuration,
       Database database,
       List<String> observers,
-      Set<String> vms,
+      Supplier<Set<String>> vms,
       long now) {
     noteOwnSuspicion(observers.contains(self) && watch.suspects(now), now);
     if (ordering || highestTerm == 0 || now - notBefore < 0) {
@@ -126,10 +127,10 @@
     }
   }
 
-  private void planMove(Database database, String target, Set<String> vms, long now) {
+  private void planMove(Database database, String target, Supplier<Set<String>> vms, long now) {
     boolean isNew = !plannedMove.isAnnounced();
     plannedMove.announce(view.term(), now);
-    if (plannedMove.mayProceed(vms, now)) {
+    if (plannedMove.mayProceed(vms.get(), now)) {
       move(database, target, now);
     } else if (isNew) {
       changed.run();
--- a/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/QuotaDesk.java
@@ -14,6 +14,7 @@
 import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.membership.Rendezvous;
 import org.toucanmast.core.quota.KeptAllowance;
+import org.toucanmast.runtime.allowance.TokenCounts;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -206,7 +207,7 @@
     unused.forEach(
         (keeper, tokens) ->
             links.giveBack(
-                keeper, TokenReturn.newBuilder().addAllReturned(counts(tokens)).build()));
+                keeper, TokenReturn.newBuilder().addAllReturned(TokenCounts.of(tokens)).build()));
     unused.clear();
     long now = clock.now();
     askers.forEach(
@@ -215,19 +216,14 @@
           if (!ask.counts().isEmpty()) {
             links.ask(
                 keeper,
-                TokenAsk.newBuilder().setAskId(ask.id()).addAllAsks(counts(ask.counts())).build());
+                TokenAsk.newBuilder()
+                    .setAskId(ask.id())
+                    .addAllAsks(TokenCounts.of(ask.counts()))
+                    .build());
           }
         });
   }
 
-  private static List<TokenCount> counts(Map<String, Integer> counts) {
-    List<TokenCount> messages = new ArrayList<>();
-    counts.forEach(
-        (customer, count) ->
-            messages.add(TokenCount.newBuilder().setCustomer(customer).setCount(count).build()));
-    return messages;
-  }
-
   /** Answers a VM that asks for tokens of customers kept here. */
   TokenGrant onAsk(TokenAsk ask) {
     long now = clock.now();
@@ -240,7 +236,10 @@
               ? 0
               : keep(wanted.getCustomer(), allowance, now).take(wanted.getCount(), now));
     }
-    return TokenGrant.newBuilder().setAskId(ask.getAskId()).addAllGrants(counts(granted)).build();
+    return TokenGrant.newBuilder()
+        .setAskId(ask.getAskId())
+        .addAllGrants(TokenCounts.of(granted))
+        .build();
   }
 
   /** Takes a keeper's answer; what was not granted is refused at once. */
@@ -249,8 +248,7 @@
     if (asker == null) {
       return;
     }
-    Map<String, Integer> granted = new HashMap<>();
-    grant.getGrantsList().forEach(item -> granted.put(item.getCustomer(), item.getCount()));
+    Map<String, Integer> granted = TokenCounts.byCustomer(grant.getGrantsList());
     AskBatcher.Granted<Waiting> outcome = asker.onGrant(grant.getAskId(), granted, clock.now());
     outcome.unused().forEach((customer, count) -> returnLater(keeper, customer, count));
     List<Waiting> refused = new ArrayList<>();
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestsDuty.java
@@ -13,7 +13,6 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -247,10 +246,15 @@
   private void tick() {
     long now = clock.getAsLong();
     allowances.tick(now);
-    Set<String> live = peers.live(now).keySet();
     groups
         .values()
-        .forEach(group -> group.tick(configuration.current(), observerCandidates, live, now));
+        .forEach(
+            group ->
+                group.tick(
+                    configuration.current(),
+                    observerCandidates,
+                    () -> peers.live(now).keySet(),
+                    now));
     transactions.tick(now);
     forwards.tick(now);
   }
