--- a/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Rendezvous hashing: assigns keys to members. All VMs compute the same ranking of the same members
@@ -20,7 +21,7 @@
 
   /** Returns the members in the order of their rank for the key, the assigned member first. */
   public static List<String> rank(String key, Collection<String> members) {
-    return members.stream().sorted(byRank(key)).toList();
+    return sortedBy(members, member -> score(key, member));
   }
 
   /** Returns the member assigned to the key; empty when there are no members. */
@@ -36,10 +37,20 @@
    * Tables, 2005.
    */
   public static List<String> rankByWeight(String key, Map<String, Double> weights) {
-    return weights.keySet().stream()
+    return sortedBy(weights.keySet(), member -> cost(key, member, weights.get(member)));
+  }
+
+  /** Sorts members by a value that is computed once for each; equal values sort by name. */
+  private static <T extends Comparable<T>> List<String> sortedBy(
+      Collection<String> members, Function<String, T> value) {
+    record Valued<T>(String member, T value) {}
+
+    return members.stream()
+        .map(member -> new Valued<>(member, value.apply(member)))
         .sorted(
-            Comparator.<String>comparingDouble(member -> cost(key, member, weights.get(member)))
-                .thenComparing(Comparator.naturalOrder()))
+            Comparator.comparing((Valued<T> valued) -> valued.value())
+                .thenComparing(Valued::member))
+        .map(Valued::member)
         .toList();
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -5,9 +5,15 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.toucanmast.core.link.ConnectBackoff;
+import org.toucanmast.core.link.LinkLiveness;
+import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
@@ -16,20 +22,14 @@
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.schema.FleetFrame;
 import org.toucanmast.schema.FleetHello;
-import org.toucanmast.schema.MirrorPull;
-import org.toucanmast.schema.TokenAsk;
-import org.toucanmast.schema.TokenReturn;
 
-/** The link that this VM opens to a peer, to send it statements and receive their results. */
+/**
+ * The link that this VM opens to a peer when it needs one, to send it statements and receive their
+ * results.
+ */
 public final class FleetLink {
-  /** A link that is silent for this long gets no new statements; two heartbeats were lost. */
-  static final long SUSPICION_TIMEOUT_IN_MILLISECONDS = 350;
-
-  /** A link that is silent for this long is closed; short suspensions of a peer end earlier. */
-  static final long SILENCE_TIMEOUT_IN_MILLISECONDS = 1_200;
-
-  /** Minimum time between two attempts to connect. */
-  private static final long CONNECT_INTERVAL_IN_MILLISECONDS = 250;
+  /** A link that no statement used for this long, and that nothing else needs, is closed. */
+  private static final long IDLE_TIMEOUT_IN_MILLISECONDS = 30_000;
 
   /** Receives the outcome of a statement that was sent over the link. */
   public interface CallHandler {
@@ -38,6 +38,9 @@
 
     /** Called if the result can no longer be received; the statement may have run. */
     void onLost();
+
+    /** Called if the statement was not sent; it has not run. */
+    void onNotSent();
   }
 
   private record Call(StatementRequest request, CallHandler handler) {
@@ -53,16 +56,19 @@
   private final FleetHello hello;
   private final FleetMember member;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
+  private final List<FleetFrame> unsent = new ArrayList<>();
+  private final ConnectBackoff backoff = new ConnectBackoff();
+  private final Set<LinkUse> uses = EnumSet.noneOf(LinkUse.class);
+  private LinkLiveness liveness;
   private FrameReader reader = new FrameReader();
   private NetSocket socket;
-  private boolean connecting;
   private boolean closed;
   private boolean leaving;
   private boolean connectFailed;
   private boolean connectFailureLogged;
-  private boolean available;
-  private long connectStartedAt = Long.MIN_VALUE;
-  private long lastReceivedAt = Long.MIN_VALUE;
+  private boolean suspected;
+  private boolean statementsOutstanding;
+  private long lastStatementAt = Long.MIN_VALUE / 2;
   private long lastCallId;
 
   FleetLink(
@@ -78,60 +84,96 @@
     this.messageHandler = messageHandler;
     this.hello = hello;
     this.member = member;
+    this.liveness = new LinkLiveness(clock.now());
   }
 
   FleetMember member() {
     return member;
   }
 
-  /** Returns whether the peer answers and accepts new statements. */
-  boolean isAvailable(long now) {
-    return socket != null && !leaving && now - lastReceivedAt <= SUSPICION_TIMEOUT_IN_MILLISECONDS;
+  /** Sets for what the link is kept besides statements. */
+  void setUse(LinkUse use, boolean needed) {
+    if (needed) {
+      uses.add(use);
+    } else {
+      uses.remove(use);
+    }
+  }
+
+  /**
+   * Returns whether statements may be sent to the peer: it answers, or a connection to it is being
+   * opened, or one may be.
+   */
+  boolean isUsable(long now) {
+    return !closed && !leaving && !isSuspected(now);
+  }
+
+  /** Returns whether the peer does not answer, or the last attempt to connect to it failed. */
+  boolean isSuspected(long now) {
+    return socket == null ? backoff.isSuspected(now) : liveness.isSuspected(now);
+  }
+
+  /** Returns whether a connection is open. */
+  boolean isOpen() {
+    return socket != null;
+  }
+
+  /** Returns whether the peer has said that it is about to stop. */
+  boolean isLeaving() {
+    return leaving;
   }
 
   /**
-   * Sends a statement.
+   * Sends a statement, as soon as the link is open.
    *
-   * @param handler called once, immediately if the link is down
+   * @param handler called once
    */
   public void call(StatementRequest request, CallHandler handler) {
-    if (socket == null) {
-      handler.onLost();
+    long now = clock.now();
+    if (!isUsable(now)) {
+      handler.onNotSent();
       return;
     }
+    lastStatementAt = now;
+    uses.add(LinkUse.STATEMENTS);
     lastCallId++;
     calls.put(lastCallId, new Call(request, handler));
     send(FleetFrame.newBuilder().setCall(StatementMessages.toCall(lastCallId, request)).build());
   }
 
-  /** Asks the peer for its mirror of a kind of the store's objects. */
-  void pullMirror(String kind) {
-    send(FleetFrame.newBuilder().setMirrorPull(MirrorPull.newBuilder().setKind(kind)).build());
-  }
-
-  /** Sends a token request to the peer. */
-  void requestTokens(TokenAsk request) {
-    send(FleetFrame.newBuilder().setTokenAsk(request).build());
+  /** Sends a frame, as soon as the link is open. */
+  void send(FleetFrame frame) {
+    long now = clock.now();
+    if (socket == null) {
+      if (!closed && !isSuspected(now)) {
+        unsent.add(frame);
+        connectIfDue(now);
+      }
+      return;
+    }
+    if (frame.hasCall() || frame.hasTokenAsk()) {
+      liveness.onRequestSent(now);
+      statementsOutstanding = true;
+    }
+    socket.write(FrameReader.encode(frame));
   }
 
-  /** Returns unused tokens to the peer. */
-  void returnTokens(TokenReturn unused) {
-    send(FleetFrame.newBuilder().setTokenReturn(unused).build());
+  /** Sends a heartbeat if the link is open. */
+  void sendHeartbeat() {
+    if (socket != null) {
+      liveness.onHeartbeatSent(clock.now());
+      send(FleetFrame.newBuilder().setPulse(messageHandler.heartbeatFor(member.name())).build());
+    }
   }
 
-  /** Returns whether the peer is available or an attempt to connect to it has failed. */
+  /** Returns whether the peer has answered or an attempt to connect to it has failed. */
   boolean isReachabilityKnown() {
-    return available || connectFailed;
-  }
-
-  private void send(FleetFrame frame) {
-    if (socket != null) {
-      socket.write(FrameReader.encode(frame));
-    }
+    return socket != null || connectFailed;
   }
 
   /**
-   * Sends a heartbeat and closes the link if the peer is silent, or connects if the link is down.
+   * Sends a heartbeat if one is due and closes the link if the peer is silent; connects if the link
+   * is down and needed.
    *
    * @param now the current monotonic time, in milliseconds
    * @param pauseInMilliseconds how long this VM itself was suspended, which does not count as
@@ -141,30 +183,42 @@
     if (closed) {
       return;
     }
-    lastReceivedAt =
-        pauseInMilliseconds > 0 && lastReceivedAt != Long.MIN_VALUE
-            ? lastReceivedAt + pauseInMilliseconds
-            : lastReceivedAt;
+    liveness.onPause(pauseInMilliseconds);
+    if (now - lastStatementAt > IDLE_TIMEOUT_IN_MILLISECONDS) {
+      uses.remove(LinkUse.STATEMENTS);
+    }
     if (socket == null) {
-      connectIfDue(now);
+      if (backoff.isOverdue(now)) {
+        failUnsent();
+      }
+      if (!uses.isEmpty()) {
+        connectIfDue(now);
+      }
+    } else if (liveness.isLost(now)) {
+      disconnect("silent");
     } else {
-      send(FleetFrame.newBuilder().setPulse(messageHandler.heartbeatFor(member.name())).build());
-      if (now - lastReceivedAt > SILENCE_TIMEOUT_IN_MILLISECONDS) {
-        disconnect("silent");
-      } else if (now - lastReceivedAt > SUSPICION_TIMEOUT_IN_MILLISECONDS) {
-        failCalls(true);
+      if (liveness.isHeartbeatDue(uses, now)) {
+        sendHeartbeat();
+      }
+      if (liveness.isSuspected(now)) {
+        failCalls(Call::isRetryable);
       }
     }
-    updateAvailability(now);
+    updateSuspicion(now);
   }
 
-  private void updateAvailability(long now) {
-    boolean nowAvailable = isAvailable(now);
-    if (nowAvailable != available) {
-      available = nowAvailable;
+  /** Returns whether nothing needs the link any more. */
+  boolean isUnused() {
+    return uses.isEmpty() && calls.isEmpty() && unsent.isEmpty();
+  }
+
+  private void updateSuspicion(long now) {
+    boolean nowSuspected = isSuspected(now);
+    if (nowSuspected != suspected) {
+      suspected = nowSuspected;
       log.log(
           EventKind.MEMBERSHIP,
-          nowAvailable ? "peer reachable" : "peer unreachable",
+          nowSuspected ? "peer unreachable" : "peer reachable",
           "peer",
           member.name(),
           "leaving",
@@ -186,52 +240,54 @@
     }
     connectFailureLogged = true;
     connectFailed = true;
+    backoff.onFailed(clock.now());
+    failUnsent();
+    updateSuspicion(clock.now());
   }
 
   private void connectIfDue(long now) {
-    if (connecting
-        || connectStartedAt != Long.MIN_VALUE
-            && now - connectStartedAt < CONNECT_INTERVAL_IN_MILLISECONDS) {
+    if (!backoff.mayAttempt(now)) {
       return;
     }
-    connecting = true;
-    connectStartedAt = now;
+    backoff.onAttempt(now);
     client
         .connect(member.port(), member.host())
         .onSuccess(this::onConnected)
-        .onFailure(
-            error -> {
-              connecting = false;
-              onConnectFailed(error);
-            });
+        .onFailure(this::onConnectFailed);
   }
 
   private void onConnected(NetSocket connected) {
-    connecting = false;
     if (closed) {
       connected.close();
       return;
     }
     connectFailureLogged = false;
+    backoff.onConnected();
     socket = connected;
     reader = new FrameReader();
-    lastReceivedAt = clock.now();
+    liveness = new LinkLiveness(clock.now());
     socket.handler(bytes -> onBytes(connected, bytes));
     socket.closeHandler(done -> onClosed(connected));
     socket.exceptionHandler(error -> onClosed(connected));
     send(FleetFrame.newBuilder().setHello(hello).build());
-    send(FleetFrame.newBuilder().setPulse(messageHandler.heartbeatFor(member.name())).build());
+    sendHeartbeat();
+    List<FleetFrame> waiting = List.copyOf(unsent);
+    unsent.clear();
+    waiting.forEach(this::send);
+    updateSuspicion(clock.now());
   }
 
   private void onBytes(NetSocket source, Buffer bytes) {
     if (source != socket) {
       return;
     }
-    lastReceivedAt = clock.now();
     try {
       for (FleetFrame frame : reader.feed(bytes)) {
         onFrame(frame);
       }
+      statementsOutstanding = !calls.isEmpty();
+      liveness.onReceived(statementsOutstanding, clock.now());
+      updateSuspicion(clock.now());
     } catch (InvalidProtocolBufferException e) {
       disconnect("invalid frame");
     }
@@ -246,12 +302,19 @@
         }
       }
       case PULSE -> {
-        leaving = frame.getPulse().getLeaving();
-        updateAvailability(lastReceivedAt);
+        if (leaving != frame.getPulse().getLeaving()) {
+          leaving = frame.getPulse().getLeaving();
+          messageHandler.onReachabilityChanged();
+        }
         messageHandler.onHeartbeat(member.name(), frame.getPulse());
       }
       case TOKEN_GRANT -> messageHandler.onTokenGrant(member.name(), frame.getTokenGrant());
-      case MIRROR_PUSH -> messageHandler.onMirrorSnapshot(frame.getMirrorPush());
+      case MIRROR_PULL ->
+          send(
+              FleetFrame.newBuilder()
+                  .setMirrorPush(messageHandler.mirrorContent(frame.getMirrorPull()))
+                  .build());
+      case MIRROR_PUSH -> messageHandler.onMirrorContent(member.name(), frame.getMirrorPush());
       default -> log.log(EventKind.PROTOCOL, "unexpected frame", "peer", member.name());
     }
   }
@@ -268,6 +331,7 @@
     leaving = false;
     if (closedSocket != null) {
       closedSocket.close();
+      backoff.onFailed(clock.now());
       log.log(
           EventKind.MEMBERSHIP,
           "link lost",
@@ -278,23 +342,39 @@
           "calls",
           calls.size());
     }
-    failCalls(false);
-    updateAvailability(clock.now());
+    failCalls(call -> true);
+    failUnsent();
+    updateSuspicion(clock.now());
   }
 
-  private void failCalls(boolean onlyRetryable) {
-    List<Map.Entry<Long, Call>> lost = new ArrayList<>();
-    for (Map.Entry<Long, Call> entry : calls.entrySet()) {
-      if (!onlyRetryable || entry.getValue().isRetryable()) {
-        lost.add(entry);
+  private void failCalls(Predicate<Call> condition) {
+    List<Map.Entry<Long, Call>> lost =
+        calls.entrySet().stream().filter(entry -> condition.test(entry.getValue())).toList();
+    List<Call> handlers = lost.stream().map(Map.Entry::getValue).toList();
+    lost.stream().map(Map.Entry::getKey).toList().forEach(calls::remove);
+    handlers.forEach(call -> call.handler().onLost());
+  }
+
+  /** Reports the statements that wait for the connection as not sent. */
+  private void failUnsent() {
+    List<Call> waiting = new ArrayList<>();
+    for (FleetFrame frame : unsent) {
+      if (frame.hasCall()) {
+        Call call = calls.remove(frame.getCall().getCallId());
+        if (call != null) {
+          waiting.add(call);
+        }
       }
     }
-    lost.forEach(entry -> calls.remove(entry.getKey()));
-    lost.forEach(entry -> entry.getValue().handler().onLost());
+    unsent.clear();
+    waiting.forEach(call -> call.handler().onNotSent());
   }
 
   void close() {
-    closed = true;
-    disconnect("peer removed or address changed");
+    if (!closed) {
+      failUnsent();
+      closed = true;
+      disconnect("peer removed, its address changed, or the link is not used");
+    }
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
@@ -3,20 +3,26 @@
 import io.vertx.core.Future;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.schema.FleetFrame;
 import org.toucanmast.schema.FleetHello;
+import org.toucanmast.schema.MirrorPull;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenReturn;
 
-/** The links between this VM and its peers. */
+/** The links between this VM and its peers, opened when they are needed. */
 public final class FleetLinks {
-  /** Interval between heartbeats on a link; a peer is suspected after nearly three intervals. */
-  public static final long HEARTBEAT_INTERVAL_IN_MILLISECONDS = 120;
+  /** Interval between two checks for due heartbeats and silent links. */
+  public static final long TICK_INTERVAL_IN_MILLISECONDS = 100;
 
   /** A tick that is delayed by more than this shows that this VM itself was suspended. */
   private static final long TICK_DELAY_TOLERANCE_IN_MILLISECONDS = 150;
@@ -28,6 +34,7 @@
   private final FleetHello hello;
   private final FleetServer server;
   private final Map<String, FleetLink> links = new HashMap<>();
+  private final Map<String, FleetMember> members = new HashMap<>();
   private long lastTickAt;
 
   /**
@@ -58,64 +65,138 @@
     return server.start(address, port);
   }
 
-  /** Adds a link to a VM; closes an existing link if the VM's address has changed. */
+  /** Sets the address of a VM; closes an existing link if the address has changed. */
   public void add(FleetMember member) {
-    FleetLink existing = links.get(member.name());
-    if (existing != null && existing.member().hasAddressOf(member)) {
-      return;
+    FleetMember previous = members.put(member.name(), member);
+    if (previous != null && !previous.hasAddressOf(member)) {
+      closeLink(member.name());
     }
-    remove(member.name());
-    links.put(member.name(), new FleetLink(client, clock, log, handler, hello, member));
-    startLink(links.get(member.name()));
   }
 
-  private void startLink(FleetLink link) {
-    link.tick(clock.now(), 0);
+  /** Forgets a VM and closes the link to it. */
+  public void remove(String vm) {
+    members.remove(vm);
+    closeLink(vm);
   }
 
-  /** Closes and removes the link to a VM. */
-  public void remove(String vm) {
+  private void closeLink(String vm) {
     FleetLink link = links.remove(vm);
     if (link != null) {
       link.close();
     }
   }
 
-  /** Sends heartbeats and closes silent links; must be called at each heartbeat interval. */
+  /** Sets the VMs to which links are kept open for a use, and opens those that are missing. */
+  public void setPeers(LinkUse use, Set<String> peers) {
+    links.forEach((vm, link) -> link.setUse(use, peers.contains(vm)));
+    long now = clock.now();
+    for (String peer : peers) {
+      FleetLink known = links.get(peer);
+      link(peer).ifPresent(link -> link.setUse(use, true));
+      if (known == null) {
+        Optional.ofNullable(links.get(peer)).ifPresent(link -> link.tick(now, 0));
+      }
+    }
+  }
+
+  private Optional<FleetLink> link(String vm) {
+    FleetMember member = members.get(vm);
+    if (member == null) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        links.computeIfAbsent(
+            vm, any -> new FleetLink(client, clock, log, handler, hello, member)));
+  }
+
+  /** Sends due heartbeats and closes silent and unused links; must be called at each interval. */
   public void tick() {
     long now = clock.now();
-    long delay = now - lastTickAt - HEARTBEAT_INTERVAL_IN_MILLISECONDS;
+    long delay = now - lastTickAt - TICK_INTERVAL_IN_MILLISECONDS;
     long pause = delay > TICK_DELAY_TOLERANCE_IN_MILLISECONDS ? delay : 0;
     lastTickAt = now;
     for (FleetLink link : List.copyOf(links.values())) {
       link.tick(now, pause);
     }
+    List<String> unused = new ArrayList<>();
+    links.forEach(
+        (vm, link) -> {
+          if (link.isUnused()) {
+            unused.add(vm);
+          }
+        });
+    unused.forEach(this::closeLink);
     server.closeSilentLinks(now, pause);
   }
 
-  /** Returns the link to a VM if the VM answers and accepts new statements. */
+  /** Sends a heartbeat to each of the given VMs to which a link is open, in either direction. */
+  public void sendHeartbeats(Set<String> vms) {
+    for (String vm : vms) {
+      FleetLink link = links.get(vm);
+      if (link != null && link.isOpen()) {
+        link.sendHeartbeat();
+      } else {
+        server.sendHeartbeat(vm);
+      }
+    }
+  }
+
+  /** Sends a heartbeat over each link in either direction, so that peers send no new work. */
+  public void announceLeaving() {
+    List.copyOf(links.values()).forEach(FleetLink::sendHeartbeat);
+    server.sendHeartbeats();
+  }
+
+  /**
+   * Returns the link to a VM if statements may be sent to the VM; it is opened with the first
+   * statement.
+   */
   public Optional<FleetLink> availableLink(String vm) {
-    return Optional.ofNullable(links.get(vm)).filter(link -> link.isAvailable(clock.now()));
+    return link(vm).filter(link -> link.isUsable(clock.now()));
   }
 
-  /** Sends a token request to an allowance holder, if there is a link to it. */
-  public void requestTokens(String vm, TokenAsk request) {
+  /** Returns whether a VM does not answer on the link to it; false if there is no link. */
+  public boolean isSuspected(String vm) {
     FleetLink link = links.get(vm);
-    if (link != null) {
-      link.requestTokens(request);
-    }
+    return link != null && link.isSuspected(clock.now());
   }
 
-  /** Returns unused tokens to an allowance holder, if there is a link to it. */
-  public void returnTokens(String vm, TokenReturn unused) {
+  /** Returns whether a VM has said on the link to it that it is about to stop. */
+  public boolean isLeaving(String vm) {
     FleetLink link = links.get(vm);
-    if (link != null) {
-      link.returnTokens(unused);
-    }
+    return link != null && link.isLeaving();
+  }
+
+  /** Returns the VMs that do not answer on the links to them. */
+  public Set<String> suspected() {
+    long now = clock.now();
+    Set<String> suspected = new HashSet<>();
+    links.forEach(
+        (vm, link) -> {
+          if (link.isSuspected(now)) {
+            suspected.add(vm);
+          }
+        });
+    return suspected;
+  }
+
+  /** Returns the number of open links to other VMs. */
+  public int openLinks() {
+    return (int) links.values().stream().filter(FleetLink::isOpen).count();
+  }
+
+  /** Sends a token request to an allowance holder. */
+  public void requestTokens(String vm, TokenAsk request) {
+    link(vm).ifPresent(link -> link.send(FleetFrame.newBuilder().setTokenAsk(request).build()));
+  }
+
+  /** Returns unused tokens to an allowance holder. */
+  public void returnTokens(String vm, TokenReturn unused) {
+    link(vm).ifPresent(link -> link.send(FleetFrame.newBuilder().setTokenReturn(unused).build()));
   }
 
   /**
-   * Returns whether a VM is available, an attempt to connect to it has failed, or there is no link
+   * Returns whether a VM has answered, an attempt to connect to it has failed, or there is no link
    * to it.
    */
   public boolean isReachabilityKnown(String vm) {
@@ -123,11 +204,14 @@
     return link == null || link.isReachabilityKnown();
   }
 
-  /** Asks a VM for its mirror of a kind of the store's objects, if there is a link to it. */
-  public void pullMirror(String vm, String kind) {
+  /** Asks a VM for its mirror of a kind of the store's objects, over a link in either direction. */
+  public void pullMirror(String vm, MirrorPull request) {
+    FleetFrame frame = FleetFrame.newBuilder().setMirrorPull(request).build();
     FleetLink link = links.get(vm);
-    if (link != null) {
-      link.pullMirror(kind);
+    if (link != null && link.isOpen()) {
+      link.send(frame);
+    } else {
+      server.send(vm, frame);
     }
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMember.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMember.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
+import org.toucanmast.core.membership.VmDescription;
 
 /**
  * A VM of the fleet, as registered in the object store.
@@ -26,6 +27,11 @@
     return host.equals(other.host) && port == other.port;
   }
 
+  /** Returns what placement needs to know about the VM. */
+  public VmDescription description() {
+    return new VmDescription(name, dataCentre, capacity);
+  }
+
   /** Encodes the member as the content of its object in the store. */
   public JsonObject toJson() {
     return new JsonObject()
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMessageHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetMessageHandler.java
@@ -4,6 +4,7 @@
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.schema.FleetPulse;
+import org.toucanmast.schema.MirrorPull;
 import org.toucanmast.schema.MirrorPush;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenGrant;
@@ -37,11 +38,11 @@
   /** Handles an allowance holder's answer to a token request. */
   void onTokenGrant(String holder, TokenGrant grant);
 
-  /** Returns this VM's mirror of one kind of the store's objects. */
-  MirrorPush mirrorSnapshot(String kind);
+  /** Returns what a peer lacks of this VM's mirror of one kind of the store's objects. */
+  MirrorPush mirrorContent(MirrorPull request);
 
-  /** Handles a peer's mirror of one kind of the store's objects. */
-  void onMirrorSnapshot(MirrorPush snapshot);
+  /** Handles what a peer sends of its mirror of one kind of the store's objects. */
+  void onMirrorContent(String vm, MirrorPush content);
 
   /** Called when a VM became reachable or unreachable. */
   void onReachabilityChanged();
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -57,6 +59,29 @@
     silent.forEach(link -> link.close("silent"));
   }
 
+  /** Sends a heartbeat over the link that a VM has opened, if there is one. */
+  void sendHeartbeat(String vm) {
+    linkOf(vm)
+        .ifPresent(
+            link ->
+                link.send(FleetFrame.newBuilder().setPulse(handler.heartbeatFor(vm)).build()));
+  }
+
+  /** Sends a heartbeat to each VM that has opened a link. */
+  void sendHeartbeats() {
+    links.stream().map(link -> link.peer).filter(Objects::nonNull).distinct().toList()
+        .forEach(this::sendHeartbeat);
+  }
+
+  /** Sends a frame over the link that a VM has opened, if there is one. */
+  void send(String vm, FleetFrame frame) {
+    linkOf(vm).ifPresent(link -> link.send(frame));
+  }
+
+  private Optional<IncomingLink> linkOf(String vm) {
+    return links.stream().filter(link -> vm.equals(link.peer)).findFirst();
+  }
+
   private final class IncomingLink {
     private final NetSocket socket;
     private final FrameReader reader = new FrameReader();
@@ -105,8 +130,9 @@
         case MIRROR_PULL ->
             send(
                 FleetFrame.newBuilder()
-                    .setMirrorPush(handler.mirrorSnapshot(frame.getMirrorPull().getKind()))
+                    .setMirrorPush(handler.mirrorContent(frame.getMirrorPull()))
                     .build());
+        case MIRROR_PUSH -> handler.onMirrorContent(peer, frame.getMirrorPush());
         default -> close("unexpected frame");
       }
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
@@ -16,8 +16,16 @@
   /** The changes up to a revision of the store; empty if the wait ended without a change. */
   record Changes(List<Change> changes, long revision) {}
 
+  /** How recent the objects of a listing are. */
+  enum Consistency {
+    /** The listing contains every change that was acknowledged before the call. */
+    LINEARIZABLE,
+    /** The listing may be some seconds old, also where its revision is newer; costs little. */
+    RELAXED
+  }
+
   /** Lists all objects of a kind; fails with a {@link StoreException}. */
-  Future<Listing> list(String kind);
+  Future<Listing> list(String kind, Consistency consistency);
 
   /**
    * Waits for changes of a kind after a revision; fails with a {@link StoreException}.
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -39,12 +40,13 @@
   private final EventLog log;
   private final FleetMember self;
   private final FleetLinks links;
-  private final Runnable onMembersChanged;
+  private final FleetMembership membership;
   private final Map<String, FleetMember> members = new TreeMap<>();
   private final Map<String, Long> revisions = new HashMap<>();
   private final Map<String, Long> unreachableSince = new HashMap<>();
   private boolean registrationPending;
   private boolean deregistered;
+  private boolean changeScheduled;
 
   FleetRegistry(
       Vertx vertx,
@@ -53,14 +55,14 @@
       EventLog log,
       FleetMember self,
       FleetLinks links,
-      Runnable onMembersChanged) {
+      FleetMembership membership) {
     this.vertx = vertx;
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.self = self;
     this.links = links;
-    this.onMembersChanged = onMembersChanged;
+    this.membership = membership;
     members.put(self.name(), self);
   }
 
@@ -81,7 +83,7 @@
     members.put(object.name(), member.get());
     links.add(member.get());
     log.log(EventKind.MEMBERSHIP, "member", "peer", object.name(), "members", members.size());
-    onMembersChanged.run();
+    scheduleMembersChanged();
   }
 
   @Override
@@ -95,7 +97,19 @@
     unreachableSince.remove(name);
     links.remove(name);
     log.log(EventKind.MEMBERSHIP, "member removed", "peer", name, "members", members.size());
-    onMembersChanged.run();
+    scheduleMembersChanged();
+  }
+
+  /** Applies all changes of one turn of the event loop together; a fleet starts all at once. */
+  private void scheduleMembersChanged() {
+    if (!changeScheduled) {
+      changeScheduled = true;
+      vertx.runOnContext(
+          ignored -> {
+            changeScheduled = false;
+            membership.setMembers(members);
+          });
+    }
   }
 
   @Override
@@ -165,13 +179,9 @@
    */
   void removeUnreachable(boolean responsible) {
     long now = clock.now();
-    for (String name : members.keySet()) {
-      if (name.equals(self.name()) || links.availableLink(name).isPresent()) {
-        unreachableSince.remove(name);
-      } else {
-        unreachableSince.putIfAbsent(name, now);
-      }
-    }
+    List<String> unreachable = membership.unreachableMembers();
+    unreachableSince.keySet().retainAll(unreachable);
+    unreachable.forEach(name -> unreachableSince.putIfAbsent(name, now));
     boolean isolated = unreachableSince.size() * 2 >= members.size();
     if (!responsible || isolated) {
       return;
@@ -195,9 +205,4 @@
           }
         });
   }
-
-  /** Returns all registered VMs and this VM, by name. */
-  Map<String, FleetMember> members() {
-    return members;
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.toucanmast.core.allowance.TokenRequestBatcher;
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.configuration.Allowance;
+import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.membership.Rendezvous;
 import org.toucanmast.runtime.allowance.TokenCounts;
 import org.toucanmast.runtime.clock.VmClock;
@@ -31,7 +33,7 @@
  * the customers whose allowances this VM holds.
  */
 final class SessionAllowances {
-  /** Number of partitions of the customers; few, so that a VM needs links to few holders. */
+  /** Number of partitions of the customers; few, so that a VM keeps links to few holders. */
   private static final int PARTITIONS = 8;
 
   /** How long an operation waits for a token from the holder: many times a round trip. */
@@ -107,6 +109,9 @@
     for (int partition = 0; partition < PARTITIONS; partition++) {
       holders[partition] = Rendezvous.first("allowance/" + partition, reachable).orElse(vm);
     }
+    Set<String> lendingPeers = new HashSet<>(List.of(holders));
+    lendingPeers.remove(vm);
+    links.setPeers(LinkUse.LENDING, lendingPeers);
     holdOwnPartitions();
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -3,12 +3,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,9 +32,8 @@
 import org.toucanmast.runtime.port.StoredObject;
 import org.toucanmast.runtime.store.KindMirror;
 import org.toucanmast.schema.FleetPulse;
-import org.toucanmast.schema.MirrorObject;
+import org.toucanmast.schema.MirrorPull;
 import org.toucanmast.schema.MirrorPush;
-import org.toucanmast.schema.MirrorState;
 import org.toucanmast.schema.TokenAsk;
 import org.toucanmast.schema.TokenGrant;
 import org.toucanmast.schema.TokenReturn;
@@ -50,9 +47,6 @@
   /** Interval between checks of running and waiting statements. */
   private static final long SWEEP_INTERVAL_IN_MILLISECONDS = 25;
 
-  /** Minimum time between two requests for a peer's mirror of a kind; an answer may be large. */
-  private static final long PULL_INTERVAL_IN_MILLISECONDS = 300;
-
   /** Interval between checks for members that have been unreachable for long. */
   private static final long REMOVAL_INTERVAL_IN_MILLISECONDS = 5_000;
 
@@ -92,12 +86,13 @@
   private final GatewayRouter router;
   private final GroupGateways gateways;
   private final FleetLinks links;
+  private final FleetMembership membership;
   private final FleetRegistry registry;
-  private final Map<String, KindMirror> mirrors = new HashMap<>();
-  private final Map<String, Long> lastPullAt = new HashMap<>();
+  private final StoreMirrors mirrors;
   private final Set<CallerSession> openSessions = new HashSet<>();
   private boolean leaving;
   private long startedAt;
+  private Map<String, Double> reachable = Map.of();
 
   /** The adapters that connect the VM to callers, endpoints and the platform. */
   public record Ports(
@@ -160,28 +155,36 @@
             settings.dataCentre(),
             settings.capacity(),
             incarnation);
-    this.registry =
-        new FleetRegistry(
-            vertx, ports.store(), clock, log, self, links, this::onReachabilityChanged);
+    this.membership = new FleetMembership(vertx, log, self, links, this::onFleetChanged);
+    this.registry = new FleetRegistry(vertx, ports.store(), clock, log, self, links, membership);
+    this.mirrors =
+        new StoreMirrors(
+            vertx, ports.store(), clock, log, links, settings.name(), mirrorsListener());
     clock.addDisagreementListener(this::onClockDisagreement);
-    createMirrors(ports.store());
+    createMirrors();
   }
 
-  private void createMirrors(ObjectStore store) {
-    addMirror(
-        store,
-        model.configurationKind(),
-        CONFIGURATION_WAIT_IN_MILLISECONDS,
-        configurationListener());
-    addMirror(
-        store, model.endpointKind(), ENDPOINT_WAIT_IN_MILLISECONDS, gateways.endpointListener());
-    addMirror(
-        store, model.takenOutKind(), TAKEN_OUT_WAIT_IN_MILLISECONDS, gateways.dataCentreListener());
-    addMirror(store, FleetRegistry.KIND, MEMBER_WAIT_IN_MILLISECONDS, registry);
+  private void createMirrors() {
+    mirrors.add(
+        model.configurationKind(), CONFIGURATION_WAIT_IN_MILLISECONDS, configurationListener());
+    mirrors.add(model.endpointKind(), ENDPOINT_WAIT_IN_MILLISECONDS, gateways.endpointListener());
+    mirrors.add(
+        model.takenOutKind(), TAKEN_OUT_WAIT_IN_MILLISECONDS, gateways.dataCentreListener());
+    mirrors.add(FleetRegistry.KIND, MEMBER_WAIT_IN_MILLISECONDS, registry);
   }
 
-  private void addMirror(ObjectStore store, String kind, long wait, KindMirror.Listener listener) {
-    mirrors.put(kind, new KindMirror(vertx, store, log, kind, wait, listener));
+  private StoreMirrors.Listener mirrorsListener() {
+    return new StoreMirrors.Listener() {
+      @Override
+      public void onMirrorsChanged() {
+        membership.announce();
+      }
+
+      @Override
+      public void onStoreAccessChanged() {
+        membership.setStoreRefused(mirrors.isStoreRefused());
+      }
+    };
   }
 
   private KindMirror.Listener configurationListener() {
@@ -234,12 +237,12 @@
 
   /** Starts the mirrors of the store and opens the listeners for callers and peers. */
   public Future<?> start() {
-    onReachabilityChanged();
+    onFleetChanged();
     startedAt = clock.now();
-    mirrors.values().forEach(KindMirror::start);
+    mirrors.start();
     checkInitialization();
     vertx.setPeriodic(SWEEP_INTERVAL_IN_MILLISECONDS, fired -> gateways.sweep());
-    vertx.setPeriodic(FleetLinks.HEARTBEAT_INTERVAL_IN_MILLISECONDS, fired -> onHeartbeatDue());
+    vertx.setPeriodic(FleetLinks.TICK_INTERVAL_IN_MILLISECONDS, fired -> onTick());
     vertx.setPeriodic(
         REMOVAL_INTERVAL_IN_MILLISECONDS, fired -> registry.removeUnreachable(removesMembers()));
     return links
@@ -264,11 +267,11 @@
    * peers. Before that, it would be every group's gateway and use up the endpoints' connections.
    */
   private void checkInitialization() {
-    boolean mirrorsLoaded = mirrors.values().stream().allMatch(KindMirror::isLoaded);
-    boolean peersKnown = registry.members().keySet().stream().allMatch(links::isReachabilityKnown);
+    boolean loaded = mirrors.areLoaded() && sessions.catalog().isLoaded();
+    boolean neighboursKnown = membership.areNeighboursKnown();
     boolean timedOut = clock.now() - startedAt > INITIALIZATION_TIMEOUT_IN_MILLISECONDS;
-    if (mirrorsLoaded && peersKnown || sessions.catalog().isLoaded() && timedOut) {
-      log.log(EventKind.PROCESS, "settled", "followed", mirrorsLoaded, "decided", peersKnown);
+    if (sessions.catalog().isLoaded() && (loaded && neighboursKnown || timedOut)) {
+      log.log(EventKind.PROCESS, "settled", "followed", loaded, "decided", neighboursKnown);
       sessions.setInitialized();
       List.copyOf(openSessions).forEach(CallerSession::handlePending);
     } else {
@@ -276,39 +279,31 @@
     }
   }
 
-  private void onHeartbeatDue() {
+  private void onTick() {
     allowances.expireTokenRequests();
     links.tick();
+    mirrors.updateWatching();
   }
 
   private boolean removesMembers() {
-    return Rendezvous.first("reaper", reachable().keySet())
+    return Rendezvous.first("reaper", reachable.keySet())
         .filter(settings.name()::equals)
         .isPresent();
   }
 
-  private Map<String, Double> reachable() {
-    Map<String, Double> capacities = new HashMap<>();
-    registry
-        .members()
-        .forEach(
-            (name, member) -> {
-              boolean self = name.equals(settings.name());
-              if (self && !leaving || links.availableLink(name).isPresent()) {
-                capacities.put(name, member.capacity());
-              }
-            });
-    if (capacities.isEmpty()) {
-      capacities.put(settings.name(), settings.capacity());
+  private void onFleetChanged() {
+    Map<String, Double> nowReachable = membership.reachable();
+    if (!nowReachable.equals(reachable)) {
+      reachable = nowReachable;
+      router.onFleetChanged(reachable);
     }
-    return capacities;
+    allowances.onFleetChanged(membership.members(), reachable.keySet());
+    mirrors.setAssigned(membership.isWatcher());
   }
 
   @Override
   public void onReachabilityChanged() {
-    Map<String, Double> reachable = reachable();
-    router.onFleetChanged(reachable);
-    allowances.onFleetChanged(registry.members().keySet(), reachable.keySet());
+    membership.scheduleUpdate();
   }
 
   @Override
@@ -344,67 +339,28 @@
             .setLeaving(leaving)
             .setLentLots(allowances.partitionsLentTo(vm))
             .setUptimeInMilliseconds(allowances.uptimeInMilliseconds());
-    mirrors.forEach(
-        (kind, mirror) ->
-            heartbeat.addMirrors(
-                MirrorState.newBuilder().setKind(kind).setChangedAt(mirror.lastChangeRevision())));
+    if (membership.neighbours().contains(vm)) {
+      membership.describe(vm, heartbeat);
+      mirrors.describe(heartbeat);
+    }
     return heartbeat.build();
   }
 
   @Override
   public void onHeartbeat(String vm, FleetPulse heartbeat) {
     allowances.onSharesLent(vm, heartbeat.getLentLots(), heartbeat.getUptimeInMilliseconds());
-    for (MirrorState state : heartbeat.getMirrorsList()) {
-      KindMirror mirror = mirrors.get(state.getKind());
-      if (mirror != null
-          && state.getChangedAt() > mirror.lastChangeRevision()
-          && mayPull(mirror, state)) {
-        lastPullAt.put(state.getKind(), clock.now());
-        links.pullMirror(vm, state.getKind());
-      }
-    }
-  }
-
-  private boolean mayPull(KindMirror mirror, MirrorState state) {
-    Long lastPull = lastPullAt.get(state.getKind());
-    boolean recent = lastPull != null && clock.now() - lastPull < PULL_INTERVAL_IN_MILLISECONDS;
-    return !recent && (!mirror.isAvailable() || state.getKind().equals(model.configurationKind()));
+    membership.onHeartbeat(vm, heartbeat);
+    mirrors.onHeartbeat(vm, heartbeat);
   }
 
   @Override
-  public MirrorPush mirrorSnapshot(String kind) {
-    MirrorPush.Builder snapshot = MirrorPush.newBuilder().setKind(kind);
-    KindMirror mirror = mirrors.get(kind);
-    if (mirror != null) {
-      snapshot.setChangedAt(mirror.lastChangeRevision());
-      for (StoredObject object : mirror.objects()) {
-        MirrorObject.Builder item =
-            MirrorObject.newBuilder().setName(object.name()).setRevision(object.revision());
-        if (object.content() != null) {
-          item.setContent(object.content().encode());
-        }
-        snapshot.addObjects(item);
-      }
-    }
-    return snapshot.build();
+  public MirrorPush mirrorContent(MirrorPull request) {
+    return mirrors.contentFor(request);
   }
 
   @Override
-  public void onMirrorSnapshot(MirrorPush snapshot) {
-    KindMirror mirror = mirrors.get(snapshot.getKind());
-    if (mirror == null) {
-      return;
-    }
-    List<StoredObject> objects =
-        snapshot.getObjectsList().stream()
-            .map(
-                item ->
-                    new StoredObject(
-                        item.getName(),
-                        item.getRevision(),
-                        item.getContent().isEmpty() ? null : new JsonObject(item.getContent())))
-            .toList();
-    mirror.mergeFromPeer(snapshot.getChangedAt(), objects);
+  public void onMirrorContent(String vm, MirrorPush content) {
+    mirrors.onContent(vm, content);
   }
 
   /** Returns whether the load balancer should direct new sessions to this VM. */
@@ -421,8 +377,8 @@
   public void stop(Runnable onStopped) {
     log.log(EventKind.PROCESS, "stopping", "sessions", openSessions.size());
     leaving = true;
-    onReachabilityChanged();
-    links.tick();
+    membership.setLeaving();
+    links.announceLeaving();
     long stopAt = clock.now() + (long) (settings.graceInMilliseconds() * GRACE_PERIOD_FRACTION);
     vertx.setTimer(
         BALANCER_REACTION_TIME_IN_MILLISECONDS,
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
@@ -16,8 +16,8 @@
 
 /** Sends statements to the gateway of their group, on this VM or on a peer. */
 final class StatementSender {
-  /** Maximum number of attempts to send a read to a gateway. */
-  private static final int MAXIMUM_ATTEMPTS = 3;
+  /** Maximum number of attempts to send a statement to a gateway. */
+  private static final int MAXIMUM_ATTEMPTS = 4;
 
   /**
    * The location of a gateway.
@@ -74,7 +74,8 @@
         location,
         request.withRemaining(remaining),
         result -> consumer.accept(result, location),
-        () -> onGatewayLost(request, deadline, attempt, consumer));
+        () -> onGatewayLost(request, deadline, attempt, consumer),
+        () -> attempt(request, deadline, attempt + 1, consumer));
   }
 
   private void onGatewayLost(
@@ -134,6 +135,11 @@
             consumer.accept(
                 StatementResult.failure(
                     request.operation().resultWhenAnswerIsLost(), "gateway lost"),
+                location),
+        () ->
+            consumer.accept(
+                StatementResult.failure(
+                    ResultCode.ABORTED, "gateway lost before the statement was sent"),
                 location));
   }
 
@@ -141,7 +147,8 @@
       GatewayLocation location,
       StatementRequest request,
       Consumer<StatementResult> onResult,
-      Runnable onLost) {
+      Runnable onLost,
+      Runnable onNotSent) {
     if (location.link().isEmpty()) {
       localHandler.execute(request, localVm, onResult);
       return;
@@ -161,6 +168,11 @@
               public void onLost() {
                 onLost.run();
               }
+
+              @Override
+              public void onNotSent() {
+                onNotSent.run();
+              }
             });
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -1,23 +1,28 @@
 package org.toucanmast.runtime.store;
 
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.toucanmast.core.mirror.ChangeLog;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore;
+import org.toucanmast.runtime.port.ObjectStore.Consistency;
 import org.toucanmast.runtime.port.StoreException;
 import org.toucanmast.runtime.port.StoredObject;
 
 /**
- * Local mirror of all objects of one kind: lists them once, then watches for changes.
+ * Local mirror of all objects of one kind.
  *
- * <p>A failed watch is resumed at the last known revision. The kind is listed again only if the
- * store no longer keeps the changes since that revision, for example after a long outage.
+ * <p>The mirror lists the objects once. Afterwards it either watches the store for changes, or only
+ * takes the changes that peers pass on. A failed watch is resumed at the last known revision. The
+ * kind is listed again only if the store no longer keeps the changes since that revision.
  */
 public final class KindMirror {
   /** Delay before the first retry of a failed call; doubles with each retry up to the maximum. */
@@ -41,17 +46,45 @@
     default void onAllObjects() {}
   }
 
+  /** Receives what a mirror learns from the store, and that its content has changed. */
+  public interface StoreListener {
+    /** The store answered a call of the mirror, or did not. */
+    void onStoreAvailability(boolean available);
+
+    /** The mirror has changes that peers may lack. */
+    void onMirrorChanged();
+  }
+
+  /**
+   * Changes of the objects, or all objects if {@code since} is empty.
+   *
+   * @param since the revision of the store after which the changes are
+   * @param changes the changes, the oldest first
+   * @param completeTo the revision of the store up to which a receiver is complete with them; 0 if
+   *     that is not known
+   * @param lastChange the revision of the latest change
+   */
+  public record Update(
+      Optional<Long> since,
+      List<ObjectStore.Change> changes,
+      long completeTo,
+      long lastChange) {}
+
   private final Vertx vertx;
   private final ObjectStore store;
   private final EventLog log;
   private final String kind;
   private final long waitInMilliseconds;
   private final Listener listener;
+  private final StoreListener storeListener;
   private final Map<String, StoredObject> objects = new HashMap<>();
+  private final ChangeLog<StoredObject> changeLog = new ChangeLog<>();
   private long revision = -1;
   private long lastChangeRevision = -1;
   private long retryDelayInMilliseconds = INITIAL_RETRY_DELAY_IN_MILLISECONDS;
   private boolean available;
+  private boolean watching;
+  private boolean callPending;
 
   /**
    * Creates an empty mirror that makes no calls until it is started.
@@ -65,55 +98,94 @@
       EventLog log,
       String kind,
       long waitInMilliseconds,
-      Listener listener) {
+      Listener listener,
+      StoreListener storeListener) {
     this.vertx = vertx;
     this.store = store;
     this.log = log;
     this.kind = kind;
     this.waitInMilliseconds = waitInMilliseconds;
     this.listener = listener;
+    this.storeListener = storeListener;
   }
 
-  /** Starts to list and watch the objects. */
+  /** Lists the objects; the listing may be some seconds old, which later changes make up for. */
   public void start() {
-    list();
+    list(Consistency.RELAXED);
   }
 
-  /** Returns whether the last call to the store succeeded. */
-  public boolean isAvailable() {
-    return available;
+  /** Sets whether the mirror watches the store itself. */
+  public void setWatching(boolean newWatching) {
+    if (watching == newWatching) {
+      return;
+    }
+    watching = newWatching;
+    log.log(
+        EventKind.DEPENDENCY,
+        watching ? "watching the store" : "following peers",
+        "objects",
+        kind,
+        "revision",
+        revision);
+    if (watching && !callPending && revision >= 0) {
+      watch();
+    }
   }
 
   /** Returns whether all objects have been received once, from the store or from a peer. */
   public boolean isLoaded() {
-    return lastChangeRevision >= 0 || revision >= 0;
+    return revision >= 0;
   }
 
-  private void list() {
-    store.list(kind).onSuccess(this::onListing).onFailure(error -> retry(error, this::list));
+  private void list(Consistency consistency) {
+    callPending = true;
+    store
+        .list(kind, consistency)
+        .onSuccess(listing -> onListing(listing, consistency))
+        .onFailure(error -> retry(error, () -> list(consistency)));
   }
 
-  private void onListing(ObjectStore.Listing listing) {
+  /**
+   * Takes over a listing. The revision that comes with a relaxed one may be newer than its objects,
+   * so that the mirror counts as complete only up to the newest of them.
+   */
+  private void onListing(ObjectStore.Listing listing, Consistency consistency) {
+    callPending = false;
     onStoreAnswered();
-    replaceAll(listing.objects());
-    revision = listing.revision();
+    long newest =
+        listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
+    long completeTo = consistency == Consistency.RELAXED ? newest : listing.revision();
+    replaceAll(listing.objects(), completeTo);
     listener.onAllObjects();
-    watch();
+    storeListener.onMirrorChanged();
+    continueWatching();
   }
 
-  private void replaceAll(Collection<StoredObject> current) {
+  private void continueWatching() {
+    if (watching && !callPending) {
+      watch();
+    }
+  }
+
+  private void replaceAll(Collection<StoredObject> current, long completeTo) {
     Set<String> removed = new HashSet<>(objects.keySet());
     for (StoredObject object : current) {
       removed.remove(object.name());
-      apply(object);
+      put(object);
     }
     for (String name : removed) {
-      objects.remove(name);
-      listener.onObjectRemoved(name);
+      if (objects.get(name).revision() <= completeTo) {
+        objects.remove(name);
+        listener.onObjectRemoved(name);
+      }
+    }
+    if (completeTo > revision) {
+      revision = completeTo;
+      changeLog.restart(completeTo);
     }
   }
 
-  private void apply(StoredObject object) {
+  private void put(StoredObject object) {
     StoredObject known = objects.get(object.name());
     if (known == null || known.revision() < object.revision()) {
       objects.put(object.name(), object);
@@ -122,30 +194,71 @@
     }
   }
 
+  /** Applies changes that follow each other, and keeps them for peers that lack them. */
+  private void apply(List<ObjectStore.Change> changes, long completeTo) {
+    for (ObjectStore.Change change : changes) {
+      StoredObject object = change.object();
+      StoredObject known = objects.get(object.name());
+      if (change.deleted()) {
+        boolean namesDeletion = known == null || object.revision() > known.revision();
+        lastChangeRevision =
+            Math.max(lastChangeRevision, namesDeletion ? object.revision() : completeTo);
+        if (known != null && known.revision() <= object.revision()) {
+          objects.remove(object.name());
+          listener.onObjectRemoved(object.name());
+        }
+      } else if (object.revision() > revision || known != null) {
+        put(object);
+      }
+      changeLog.add(completeTo, object, change.deleted());
+    }
+    revision = Math.max(revision, completeTo);
+  }
+
   /**
-   * Takes over the objects of a peer's mirror if it has seen a later change.
+   * Returns what a peer lacks.
    *
-   * <p>Objects that the peer lacks are removed only while the store does not answer this VM.
+   * @param completeTo the revision of the store up to which the peer is complete; 0 if it has none
    */
-  public void mergeFromPeer(long peerLastChangeRevision, Collection<StoredObject> peerObjects) {
-    if (peerLastChangeRevision <= lastChangeRevision) {
-      return;
+  public Update updateFor(long completeTo) {
+    Optional<List<ChangeLog.Change<StoredObject>>> changes = changeLog.since(completeTo);
+    if (completeTo > 0 && changes.isPresent()) {
+      return new Update(
+          Optional.of(completeTo),
+          changes.get().stream()
+              .map(change -> new ObjectStore.Change(change.object(), change.deleted()))
+              .toList(),
+          revision,
+          lastChangeRevision);
     }
-    log.log(
-        EventKind.DEPENDENCY,
-        "mirror taken from a peer",
-        "objects",
-        kind,
-        "revision",
-        peerLastChangeRevision,
-        "available",
-        available);
-    if (available) {
-      peerObjects.forEach(this::apply);
+    return new Update(
+        Optional.empty(),
+        objects.values().stream().map(object -> new ObjectStore.Change(object, false)).toList(),
+        revision,
+        lastChangeRevision);
+  }
+
+  /**
+   * Takes over what a peer passed on; never goes back to an older revision of an object.
+   *
+   * @return whether the mirror changed
+   */
+  public boolean onUpdate(Update update) {
+    if (update.lastChange() <= lastChangeRevision && update.completeTo() <= revision) {
+      return false;
+    }
+    long before = lastChangeRevision;
+    if (update.since().isEmpty()) {
+      List<StoredObject> content = new ArrayList<>();
+      update.changes().forEach(change -> content.add(change.object()));
+      replaceAll(content, update.completeTo());
+    } else if (update.since().get() <= revision) {
+      apply(update.changes(), Math.max(revision, update.completeTo()));
     } else {
-      replaceAll(peerObjects);
+      return false;
     }
-    lastChangeRevision = Math.max(lastChangeRevision, peerLastChangeRevision);
+    lastChangeRevision = Math.max(lastChangeRevision, update.lastChange());
+    return lastChangeRevision != before;
   }
 
   /**
@@ -156,12 +269,18 @@
     return lastChangeRevision;
   }
 
+  /** Returns the store's revision up to which this mirror is complete; 0 if it has no objects. */
+  public long completeTo() {
+    return Math.max(0, revision);
+  }
+
   /** Returns all mirrored objects. */
   public Collection<StoredObject> objects() {
     return List.copyOf(objects.values());
   }
 
   private void watch() {
+    callPending = true;
     store
         .watch(kind, revision, waitInMilliseconds)
         .onSuccess(this::onChanges)
@@ -169,22 +288,20 @@
   }
 
   private void onChanges(ObjectStore.Changes changes) {
+    callPending = false;
     onStoreAnswered();
-    for (ObjectStore.Change change : changes.changes()) {
-      lastChangeRevision = Math.max(lastChangeRevision, change.object().revision());
-      if (change.deleted()) {
-        if (objects.remove(change.object().name()) != null) {
-          listener.onObjectRemoved(change.object().name());
-        }
-      } else {
-        apply(change.object());
-      }
-    }
-    revision = Math.max(revision, changes.revision());
+    apply(changes.changes(), Math.max(revision, changes.revision()));
     if (changes.changes().isEmpty()) {
-      watch();
+      continueWatching();
     } else {
-      vertx.setTimer(BATCH_DELAY_IN_MILLISECONDS, fired -> watch());
+      storeListener.onMirrorChanged();
+      callPending = true;
+      vertx.setTimer(
+          BATCH_DELAY_IN_MILLISECONDS,
+          fired -> {
+            callPending = false;
+            continueWatching();
+          });
     }
   }
 
@@ -200,15 +317,15 @@
           kind,
           "revision",
           revision);
-      list();
+      list(Consistency.LINEARIZABLE);
     } else {
       retry(error, this::watch);
     }
   }
 
+  /** Repeats a failed call after a delay, unless a peer has made it unnecessary. */
   private void retry(Throwable error, Runnable call) {
     if (available) {
-      available = false;
       log.log(
           EventKind.DEPENDENCY,
           "store not available",
@@ -217,7 +334,17 @@
           "reason",
           error.getMessage());
     }
-    vertx.setTimer(retryDelayInMilliseconds, fired -> call.run());
+    available = false;
+    storeListener.onStoreAvailability(false);
+    vertx.setTimer(
+        retryDelayInMilliseconds,
+        fired -> {
+          if (watching || !isLoaded()) {
+            call.run();
+          } else {
+            callPending = false;
+          }
+        });
     retryDelayInMilliseconds =
         Math.min(MAXIMUM_RETRY_DELAY_IN_MILLISECONDS, retryDelayInMilliseconds * 2);
   }
@@ -228,5 +355,6 @@
       available = true;
       log.log(EventKind.DEPENDENCY, "store available", "objects", kind, "revision", revision);
     }
+    storeListener.onStoreAvailability(true);
   }
 }
