--- a/core/src/main/java/org/toucanmast/core/link/ConnectBackoff.java
+++ b/core/src/main/java/org/toucanmast/core/link/ConnectBackoff.java
@@ -3,8 +3,8 @@
 /**
  * Decides when a peer to which no link is open may be tried, and for how long an attempt may take.
  *
- * <p>Load pattern: many statements need a link to a VM that has just lost power. The first one waits
- * a moment for the connection; the others go elsewhere until the next attempt is due.
+ * <p>Load pattern: many statements need a link to a VM that has just lost power. The first one
+ * waits a moment for the connection; the others go elsewhere until the next attempt is due.
  */
 public final class ConnectBackoff {
   /** Statements wait this long for a connection: many round trips. */
--- a/core/src/main/java/org/toucanmast/core/link/LinkLiveness.java
+++ b/core/src/main/java/org/toucanmast/core/link/LinkLiveness.java
@@ -6,9 +6,10 @@
  * Judges a link by what travels over it: any received byte is a sign of life, and only a peer that
  * owes an answer can be silent.
  *
- * <p>Load pattern: links that carry statements need no heartbeats of their own, and a fleet has many
- * links that are rarely used. When a peer dies under load, its answers stay out; a heartbeat is then
- * sent at once, so that the peer is suspected as soon as on a link with frequent heartbeats.
+ * <p>Load pattern: links that carry statements need no heartbeats of their own, and a fleet has
+ * many links that are rarely used. When a peer dies under load, its answers stay out; a heartbeat
+ * is then sent at once, so that the peer is suspected as soon as on a link with frequent
+ * heartbeats.
  */
 public final class LinkLiveness {
   /** A peer that owes an answer for this long is suspected and gets no new statements. */
@@ -17,7 +18,9 @@
   /** A link whose peer owes an answer for this long is closed; short suspensions end earlier. */
   public static final long SILENCE_TIMEOUT_IN_MILLISECONDS = 1_200;
 
-  /** A heartbeat is sent when an answer has been outstanding for this long without a sign of life. */
+  /**
+   * A heartbeat is sent when an answer has been outstanding for this long without a sign of life.
+   */
   private static final long PROBE_DELAY_IN_MILLISECONDS = 100;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
--- a/core/src/main/java/org/toucanmast/core/membership/FleetView.java
+++ b/core/src/main/java/org/toucanmast/core/membership/FleetView.java
@@ -14,9 +14,9 @@
  * Which VMs of the fleet one VM considers reachable, from the reports of all VMs on the peers that
  * they monitor.
  *
- * <p>Load pattern: after a loss of power or a cut of a data centre, every sender needs a new gateway
- * for many groups at the same moment, and must not try one lost VM after the other. A single
- * monitor's suspicion changes nothing, because its own link or processor may be at fault.
+ * <p>Load pattern: after a loss of power or a cut of a data centre, every sender needs a new
+ * gateway for many groups at the same moment, and must not try one lost VM after the other. A
+ * single monitor's suspicion changes nothing, because its own link or processor may be at fault.
  *
  * <p>Reports spread from neighbour to neighbour and are merged by version; merging is commutative
  * and idempotent, so that views converge whatever the order and the number of deliveries. Source:
@@ -31,7 +31,7 @@
   private MonitoringPlan plan;
   private VmReport ownReport;
   private Set<String> unreachable;
-  private long digest;
+  private Long digest;
 
   /**
    * Creates the view of a VM that knows only itself.
@@ -48,7 +48,7 @@
   public void setMembers(Collection<VmDescription> members) {
     plan = new MonitoringPlan(members);
     reports.keySet().retainAll(plan.vms());
-    recompute();
+    onReportsChanged();
   }
 
   /** Returns the plan by which VMs monitor each other. */
@@ -64,27 +64,30 @@
    */
   public boolean onReport(VmReport report) {
     if (report.vm().equals(self)) {
-      if (report.incarnation() < ownReport.incarnation()
-          || report.equals(ownReport)
-          || !report.isNewerThan(ownReport)) {
-        return false;
-      }
+      return onOwnName(report);
+    }
+    if (!plan.vms().contains(report.vm()) || !report.isNewerThan(reportOf(report.vm()))) {
+      return false;
+    }
+    reports.put(report.vm(), report);
+    onReportsChanged();
+    return true;
+  }
+
+  private boolean onOwnName(VmReport report) {
+    boolean newer = report.isNewerThan(ownReport);
+    boolean unanswered = ownReport.version() == 0 && !report.equals(ownReport);
+    if (newer || unanswered) {
       replaceOwnReport(
           new VmReport(
               self,
-              report.incarnation() + 1,
-              0,
+              newer ? report.incarnation() + 1 : ownReport.incarnation(),
+              1,
               ownReport.leaving(),
               ownReport.storeRefused(),
               ownReport.suspected()));
-      return true;
-    }
-    if (!plan.vms().contains(report.vm()) || !report.isNewerThan(reportOf(report.vm()))) {
-      return false;
     }
-    reports.put(report.vm(), report);
-    recompute();
-    return true;
+    return newer || unanswered;
   }
 
   /**
@@ -96,7 +99,7 @@
     VmReport known = reports.get(vm);
     if (known != null && known.incarnation() < incarnation) {
       reports.remove(vm);
-      recompute();
+      onReportsChanged();
     }
   }
 
@@ -114,12 +117,7 @@
     monitored.retainAll(plan.subjectsOf(self));
     VmReport changed =
         new VmReport(
-            self,
-            ownReport.incarnation(),
-            ownReport.version(),
-            leaving,
-            storeRefused,
-            monitored);
+            self, ownReport.incarnation(), ownReport.version(), leaving, storeRefused, monitored);
     if (changed.equals(ownReport)) {
       return false;
     }
@@ -136,7 +134,7 @@
 
   private void replaceOwnReport(VmReport report) {
     ownReport = report;
-    recompute();
+    onReportsChanged();
   }
 
   /** Returns the report of a VM; its initial report if none has been received. */
@@ -147,7 +145,7 @@
   /** Returns all reports that have been received, and that of this VM once it says something. */
   public List<VmReport> allReports() {
     List<VmReport> all = new ArrayList<>(reports.values());
-    if (ownReport.version() > 0 || reports.isEmpty()) {
+    if (ownReport.version() > 0) {
       all.add(ownReport);
     }
     return all;
@@ -155,12 +153,21 @@
 
   /** Returns a number that is equal on two VMs that know the same versions of all reports. */
   public long digest() {
+    if (digest == null) {
+      digest = 0L;
+      for (VmReport report : allReports()) {
+        digest += mix(mix(report.vm().hashCode() ^ report.incarnation()) ^ report.version());
+      }
+    }
     return digest;
   }
 
   /** Returns the other VMs that are considered unreachable; VMs that are leaving are not. */
   public Set<String> unreachable() {
-    return unreachable == null ? Set.of() : unreachable;
+    if (unreachable == null) {
+      unreachable = unreachableBy(unreachableBy(Set.of()));
+    }
+    return unreachable;
   }
 
   /** Returns whether a VM may be given work, as far as the reports tell. */
@@ -168,13 +175,10 @@
     return !unreachable().contains(vm) && !reportOf(vm).leaving();
   }
 
-  private void recompute() {
-    digest = 0;
-    for (VmReport report : allReports()) {
-      digest += mix(mix(report.vm().hashCode() ^ report.incarnation()) ^ report.version());
-    }
-    Set<String> first = unreachableBy(Set.of());
-    unreachable = unreachableBy(first);
+  /** Discards what was derived from the reports; a heartbeat may bring many of them. */
+  private void onReportsChanged() {
+    digest = null;
+    unreachable = null;
   }
 
   private static long mix(long value) {
@@ -250,8 +254,12 @@
    * the one that is cut off or was suspended.
    */
   private boolean isIsolated(String monitor) {
+    Set<String> suspected = reportOf(monitor).suspected();
+    if (suspected.isEmpty()) {
+      return false;
+    }
     Set<String> subjects = plan.subjectsOf(monitor);
-    long count = reportOf(monitor).suspected().stream().filter(subjects::contains).count();
+    long count = suspected.stream().filter(subjects::contains).count();
     return subjects.size() > 1 && 2 * count > subjects.size();
   }
 
--- a/core/src/main/java/org/toucanmast/core/membership/MonitoringPlan.java
+++ b/core/src/main/java/org/toucanmast/core/membership/MonitoringPlan.java
@@ -55,7 +55,8 @@
         vm -> members.computeIfAbsent(vm.dataCentre(), any -> new TreeSet<>()).add(vm.name()));
     TreeMap<String, List<String>> rings = new TreeMap<>();
     members.forEach(
-        (dataCentre, names) -> rings.put(dataCentre, new ArrayList<>(Rendezvous.rank(RING, names))));
+        (dataCentre, names) ->
+            rings.put(dataCentre, new ArrayList<>(Rendezvous.rank(RING, names))));
     return rings;
   }
 
@@ -72,15 +73,15 @@
   private void addRemoteSubjects(
       TreeMap<String, List<String>> rings, List<String> names, int index, int place) {
     int others = names.size() - 1;
-    for (int subject = 0; subject < Math.min(REMOTE_SUBJECTS, others); subject++) {
-      int turn = place * REMOTE_SUBJECTS + subject;
+    int count = Math.min(REMOTE_SUBJECTS, others);
+    for (int subject = 0; subject < count; subject++) {
+      int turn = place * count + subject;
       int distance = 1 + turn % others;
       List<String> ring = rings.get(names.get((index + distance) % names.size()));
-      int round = turn / others;
-      int offset = (distance - 1) * ring.size() / others;
+      int offset = (distance - 1) * count * ring.size() / others;
       addSubject(
           rings.get(names.get(index)).get(place),
-          ring.get((offset * REMOTE_SUBJECTS + round) % ring.size()));
+          ring.get((offset + turn / others) % ring.size()));
     }
   }
 
--- a/core/src/main/java/org/toucanmast/core/membership/WatcherPlan.java
+++ b/core/src/main/java/org/toucanmast/core/membership/WatcherPlan.java
@@ -38,7 +38,9 @@
     for (VmDescription member : members) {
       dataCentres.add(member.dataCentre());
       boolean isSelf = member.name().equals(vm.name());
-      if (member.dataCentre().equals(vm.dataCentre()) && (isSelf || view.accepts(member.name()))) {
+      boolean mayWatch =
+          isSelf ? !view.reportOf(member.name()).leaving() : view.accepts(member.name());
+      if (member.dataCentre().equals(vm.dataCentre()) && mayWatch) {
         candidates.put(member.name(), member);
       }
     }
--- a/core/src/main/java/org/toucanmast/core/mirror/ChangeLog.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/ChangeLog.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 /**
- * The most recent changes of one kind of objects, from which peers receive what they lack instead of
- * all objects.
+ * The most recent changes of one kind of objects, from which peers receive what they lack instead
+ * of all objects.
  *
  * <p>Load pattern: many endpoints or VMs change their entries within seconds, and each change would
  * otherwise send the whole kind to every VM.
--- a/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
@@ -6,16 +6,21 @@
  * How long ago the store answered a VM whose changes reach this VM, directly or through peers.
  *
  * <p>Load pattern: all watchers fail at once, or a VM is cut off from its peers but not from the
- * store. Each VM then asks the store itself, at different moments, so that the fleet does not exceed
- * the rates that the store serves.
+ * store. Each VM then asks the store itself, at different moments, so that the fleet does not
+ * exceed the rates that the store serves.
  */
 public final class MirrorFreshness {
-  /** An age at which peers are no longer relied on: a watch's wait with its margin, and some hops. */
+  /**
+   * An age at which peers are no longer relied on: a watch's wait with its margin, and some hops.
+   */
   private static final long MAXIMUM_AGE_IN_MILLISECONDS = 5_500;
 
   /** VMs give up their reliance on peers over this time, not at the same moment. */
   private static final long SPREAD_IN_MILLISECONDS = 1_500;
 
+  /** Separates the hashes of names that differ in their last digit only; from Knuth. */
+  private static final int HASH_MULTIPLIER = 0x9E3779B1;
+
   private final long maximumAgeInMilliseconds;
   private final long startedAt;
   private long answeredAt = Long.MIN_VALUE;
@@ -28,7 +33,8 @@
    */
   public MirrorFreshness(String vm, long now) {
     maximumAgeInMilliseconds =
-        MAXIMUM_AGE_IN_MILLISECONDS + Math.floorMod(vm.hashCode(), SPREAD_IN_MILLISECONDS);
+        MAXIMUM_AGE_IN_MILLISECONDS
+            + Math.floorMod(vm.hashCode() * HASH_MULTIPLIER, SPREAD_IN_MILLISECONDS);
     startedAt = now;
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
@@ -63,13 +63,16 @@
   void sendHeartbeat(String vm) {
     linkOf(vm)
         .ifPresent(
-            link ->
-                link.send(FleetFrame.newBuilder().setPulse(handler.heartbeatFor(vm)).build()));
+            link -> link.send(FleetFrame.newBuilder().setPulse(handler.heartbeatFor(vm)).build()));
   }
 
   /** Sends a heartbeat to each VM that has opened a link. */
   void sendHeartbeats() {
-    links.stream().map(link -> link.peer).filter(Objects::nonNull).distinct().toList()
+    links.stream()
+        .map(link -> link.peer)
+        .filter(Objects::nonNull)
+        .distinct()
+        .toList()
         .forEach(this::sendHeartbeat);
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -19,6 +19,9 @@
   /** Limit of connections to an endpoint whose group is not in the configuration. */
   private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4;
 
+  /** Transactions that a gateway can open in each millisecond before handles repeat. */
+  private static final long HANDLES_PER_INCARNATION_STEP = 1_000;
+
   private final Vertx vertx;
   private final NetClient client;
   private final EndpointDialect dialect;
@@ -31,20 +34,27 @@
   private Set<String> takenOutDataCentres = Set.of();
   private long lastTransactionHandle;
 
-  /** Creates a context with an empty configuration. */
+  /**
+   * Creates a context with an empty configuration.
+   *
+   * @param incarnation a number that increases with each run of the process by more than the
+   *     transactions of a run, so that no transaction has the handle of one of an earlier run
+   */
   public GatewayContext(
       Vertx vertx,
       NetClient client,
       EndpointDialect dialect,
       VmClock clock,
       EventLog log,
-      PromotionCoordinator promotions) {
+      PromotionCoordinator promotions,
+      long incarnation) {
     this.vertx = vertx;
     this.client = client;
     this.dialect = dialect;
     this.clock = clock;
     this.log = log;
     this.promotions = promotions;
+    this.lastTransactionHandle = incarnation * HANDLES_PER_INCARNATION_STEP;
   }
 
   /** Sets the predicate that tells whether this VM is the assigned gateway of a group. */
@@ -74,7 +84,8 @@
     takenOutDataCentres = Set.copyOf(dataCentres);
   }
 
-  Vertx vertx() {
+  /** Returns the event loop on which all gateways run. */
+  public Vertx vertx() {
     return vertx;
   }
 
@@ -86,7 +97,8 @@
     return dialect;
   }
 
-  VmClock clock() {
+  /** Returns the clock of the VM. */
+  public VmClock clock() {
     return clock;
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -427,6 +427,17 @@
         && !queues.hasStatementsForPrimary();
   }
 
+  /**
+   * Returns whether the next sweep may find something to do soon: statements that run or wait, open
+   * transactions, or a primary that is being watched or replaced.
+   */
+  public boolean needsFrequentSweeps(long now) {
+    return now - lastStatementAt < context.activeGroupWindowMilliseconds()
+        || !isIdle()
+        || queues.size() > 0
+        || primaryMonitor.isReplacing();
+  }
+
   /** Closes all connections; statements that are running fail. */
   public void close() {
     List.copyOf(pools.values()).forEach(EndpointPool::close);
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -228,6 +228,11 @@
     }
   }
 
+  /** Returns whether a candidate is being chosen or a promotion was ordered. */
+  boolean isReplacing() {
+    return pollStartedAt != Long.MAX_VALUE || orderedAt != Long.MAX_VALUE;
+  }
+
   private void checkPrimary(EndpointPool primary, long now) {
     reportUnansweredProbe(primary, now);
     boolean doubtful =
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
@@ -20,12 +20,20 @@
 
 /** The gateways of this VM, one for each group, and the endpoints that the store lists. */
 final class GroupGateways {
+  /** Interval between checks of running and waiting statements. */
+  private static final long SWEEP_INTERVAL_IN_MILLISECONDS = 25;
+
+  /** The interval at a VM whose gateways have no work; short enough to replace a lost primary. */
+  private static final long IDLE_SWEEP_INTERVAL_IN_MILLISECONDS = 200;
+
   private final GatewayContext context;
   private final PlatformModel model;
   private final EventLog log;
   private final Map<String, GroupGateway> gateways = new HashMap<>();
   private final Map<String, EndpointEntry> entries = new HashMap<>();
   private final Set<String> takenOut = new HashSet<>();
+  private long sweepTimer;
+  private boolean frequentSweeps;
 
   GroupGateways(GatewayContext context, PlatformModel model, EventLog log) {
     this.context = context;
@@ -39,6 +47,7 @@
 
   void execute(StatementRequest request, String originVm, Consumer<StatementResult> consumer) {
     gateway(request.group()).execute(request, originVm, consumer);
+    sweepFrequently();
   }
 
   void onCatalog(Catalog catalog) {
@@ -116,8 +125,26 @@
     gateways.values().forEach(GroupGateway::discardObservationTimes);
   }
 
-  void sweep() {
+  /** Sweeps the gateways, now and repeatedly: often only while some of them have work. */
+  void startSweeping() {
     gateways.values().forEach(GroupGateway::sweep);
+    long now = context.clock().now();
+    frequentSweeps =
+        gateways.values().stream().anyMatch(gateway -> gateway.needsFrequentSweeps(now));
+    sweepTimer =
+        context
+            .vertx()
+            .setTimer(
+                frequentSweeps
+                    ? SWEEP_INTERVAL_IN_MILLISECONDS
+                    : IDLE_SWEEP_INTERVAL_IN_MILLISECONDS,
+                fired -> startSweeping());
+  }
+
+  private void sweepFrequently() {
+    if (!frequentSweeps && context.vertx().cancelTimer(sweepTimer)) {
+      startSweeping();
+    }
   }
 
   boolean isIdle() {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -44,9 +44,6 @@
  * <p>All components run on one event loop, so that a statement wakes one thread only.
  */
 public final class SessionVm implements FleetMessageHandler {
-  /** Interval between checks of running and waiting statements. */
-  private static final long SWEEP_INTERVAL_IN_MILLISECONDS = 25;
-
   /** Interval between checks for members that have been unreachable for long. */
   private static final long REMOVAL_INTERVAL_IN_MILLISECONDS = 5_000;
 
@@ -116,6 +113,7 @@
                 .setConnectTimeout(CONNECT_TIMEOUT_IN_MILLISECONDS)
                 .setTcpNoDelay(true)
                 .setReconnectAttempts(0));
+    long incarnation = System.currentTimeMillis();
     GatewayContext context =
         new GatewayContext(
             vertx,
@@ -124,9 +122,9 @@
             clock,
             log,
             new PromotionCoordinator(
-                ports.store(), ports.promotions(), clock, log, settings.name()));
+                ports.store(), ports.promotions(), clock, log, settings.name()),
+            incarnation);
     this.gateways = new GroupGateways(context, model, log);
-    long incarnation = System.currentTimeMillis();
     this.links =
         new FleetLinks(
             client,
@@ -241,7 +239,7 @@
     startedAt = clock.now();
     mirrors.start();
     checkInitialization();
-    vertx.setPeriodic(SWEEP_INTERVAL_IN_MILLISECONDS, fired -> gateways.sweep());
+    gateways.startSweeping();
     vertx.setPeriodic(FleetLinks.TICK_INTERVAL_IN_MILLISECONDS, fired -> onTick());
     vertx.setPeriodic(
         REMOVAL_INTERVAL_IN_MILLISECONDS, fired -> registry.removeUnreachable(removesMembers()));
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -126,9 +126,7 @@
 
   /** Adds the state of the mirrors to a heartbeat for a neighbour. */
   void describe(FleetPulse.Builder heartbeat) {
-    freshness
-        .ageInMilliseconds(clock.now())
-        .ifPresent(heartbeat::setStoreAgeInMilliseconds);
+    freshness.ageInMilliseconds(clock.now()).ifPresent(heartbeat::setStoreAgeInMilliseconds);
     mirrors.forEach(
         (kind, mirror) ->
             heartbeat.addMirrors(
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -65,10 +65,7 @@
    * @param lastChange the revision of the latest change
    */
   public record Update(
-      Optional<Long> since,
-      List<ObjectStore.Change> changes,
-      long completeTo,
-      long lastChange) {}
+      Optional<Long> since, List<ObjectStore.Change> changes, long completeTo, long lastChange) {}
 
   private final Vertx vertx;
   private final ObjectStore store;
@@ -152,8 +149,7 @@
   private void onListing(ObjectStore.Listing listing, Consistency consistency) {
     callPending = false;
     onStoreAnswered();
-    long newest =
-        listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
+    long newest = listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
     long completeTo = consistency == Consistency.RELAXED ? newest : listing.revision();
     replaceAll(listing.objects(), completeTo);
     listener.onAllObjects();
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -66,8 +66,7 @@
 
   private static KindMirror.Update update(
       Optional<Long> since, long completeTo, StoredObject... objects) {
-    List<Change> changes =
-        Stream.of(objects).map(object -> new Change(object, false)).toList();
+    List<Change> changes = Stream.of(objects).map(object -> new Change(object, false)).toList();
     return new KindMirror.Update(since, changes, completeTo, completeTo);
   }
 
@@ -212,7 +211,10 @@
     store.lastWatch().complete(new Changes(List.of(written, deleted), 60));
     mirror.onUpdate(
         new KindMirror.Update(
-            Optional.of(40L), List.of(written, deleted, new Change(object("b", 61), false)), 61, 61));
+            Optional.of(40L),
+            List.of(written, deleted, new Change(object("b", 61), false)),
+            61,
+            61));
 
     assertThat(notifications).containsExactly("+a", "-a", "+b");
   }
