Let operations wait for tokens as long as their holder takes to answer

Ruled out: a longer timeout for all (a holder that died would be noticed later). Change: TokenRequestTimeout follows the time of the holder's answers, late ones included, between 60 and 400 ms.

--- a/core/src/main/java/org/toucanmast/core/allowance/TokenRequestBatcher.java
+++ b/core/src/main/java/org/toucanmast/core/allowance/TokenRequestBatcher.java
@@ -6,10 +6,9 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 
 /**
@@ -35,12 +34,12 @@
 
   private record SentRequest(long sentAt, Map<String, Integer> counts) {}
 
-  private static final int MAXIMUM_EXPIRED_IDS = 1_000;
+  private static final int MAXIMUM_EXPIRED_REQUESTS = 1_000;
 
   private final long grantLifetime;
   private final Map<String, Deque<Waiting<T>>> waiting = new HashMap<>();
   private final Map<Long, SentRequest> sentRequests = new HashMap<>();
-  private final Set<Long> expiredIds = new LinkedHashSet<>();
+  private final Map<Long, Long> expiredRequests = new LinkedHashMap<>();
   private final Map<String, Integer> requestedTokens = new HashMap<>();
   private long nextId = 1;
 
@@ -115,8 +114,11 @@
    *
    * @param admitted the operations that may proceed
    * @param unused the number of tokens to return to the holder, by customer
+   * @param answeredAfter the time from the token request to its answer, also to an expired one;
+   *     empty for a duplicate grant
    */
-  public record Granted<T>(List<T> admitted, Map<String, Integer> unused) {}
+  public record Granted<T>(
+      List<T> admitted, Map<String, Integer> unused, OptionalLong answeredAfter) {}
 
   /**
    * Assigns the tokens of a grant to waiting operations. A duplicate grant has no effect; all
@@ -125,11 +127,15 @@
   public Granted<T> onGrant(long requestId, Map<String, Integer> granted, long now) {
     SentRequest request = sentRequests.remove(requestId);
     if (request == null) {
-      return new Granted<>(List.of(), expiredIds.remove(requestId) ? granted : Map.of());
+      Long sentAt = expiredRequests.remove(requestId);
+      return sentAt == null
+          ? new Granted<>(List.of(), Map.of(), OptionalLong.empty())
+          : new Granted<>(List.of(), granted, OptionalLong.of(now - sentAt));
     }
     removeRequestedTokens(request);
+    OptionalLong answeredAfter = OptionalLong.of(now - request.sentAt());
     if (now - request.sentAt() > grantLifetime) {
-      return new Granted<>(List.of(), granted);
+      return new Granted<>(List.of(), granted, answeredAfter);
     }
     List<T> admitted = new ArrayList<>();
     Map<String, Integer> unused = new HashMap<>();
@@ -145,7 +151,7 @@
             unused.put(customer, usable - used);
           }
         });
-    return new Granted<>(admitted, unused);
+    return new Granted<>(admitted, unused, answeredAfter);
   }
 
   /**
@@ -159,7 +165,7 @@
       if (now - entry.getValue().sentAt() > grantLifetime) {
         iterator.remove();
         removeRequestedTokens(entry.getValue());
-        rememberExpired(entry.getKey());
+        rememberExpired(entry.getKey(), entry.getValue().sentAt());
       }
     }
   }
@@ -198,10 +204,10 @@
     return removed;
   }
 
-  private void rememberExpired(long requestId) {
-    expiredIds.add(requestId);
-    if (expiredIds.size() > MAXIMUM_EXPIRED_IDS) {
-      expiredIds.remove(expiredIds.iterator().next());
+  private void rememberExpired(long requestId, long sentAt) {
+    expiredRequests.put(requestId, sentAt);
+    if (expiredRequests.size() > MAXIMUM_EXPIRED_REQUESTS) {
+      expiredRequests.remove(expiredRequests.keySet().iterator().next());
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.toucanmast.core.allowance.HeldAllowance;
 import org.toucanmast.core.allowance.TokenRequestBatcher;
+import org.toucanmast.core.allowance.TokenRequestTimeout;
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.link.LinkUse;
@@ -36,10 +37,10 @@
   /** Number of partitions of the customers; few, so that a VM keeps links to few holders. */
   private static final int PARTITIONS = 8;
 
-  /** How long an operation waits for a token from the holder: many times a round trip. */
-  private static final long TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS = 60;
-
-  /** The same while this VM, and perhaps every VM, has just started: a new JVM runs code slowly. */
+  /**
+   * Minimum time that an operation waits for a token while this VM, and perhaps every VM, has just
+   * started: a new JVM runs code slowly.
+   */
   private static final long STARTUP_TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS = 250;
 
   /** How long a heartbeat lends the sender's share; tolerates the loss of some heartbeats. */
@@ -82,6 +83,7 @@
   private final Map<String, LentShares> lentShares = new HashMap<>();
   private final Map<String, TokenRequestBatcher<PendingOperation>> batchersByHolder =
       new HashMap<>();
+  private final Map<String, TokenRequestTimeout> timeoutsByHolder = new HashMap<>();
   private final Map<String, Map<String, Integer>> unusedTokens = new HashMap<>();
   private Set<String> members = Set.of();
   private final long startedAt;
@@ -106,6 +108,7 @@
   void onFleetChanged(Collection<String> registered, Collection<String> reachable) {
     members = Set.copyOf(registered);
     lentShares.keySet().retainAll(members);
+    timeoutsByHolder.keySet().retainAll(members);
     for (int partition = 0; partition < PARTITIONS; partition++) {
       holders[partition] = Rendezvous.first("allowance/" + partition, reachable).orElse(vm);
     }
@@ -205,20 +208,24 @@
     }
     batchersByHolder
         .computeIfAbsent(
-            holder, key -> new TokenRequestBatcher<>(STARTUP_TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS))
+            holder,
+            key -> new TokenRequestBatcher<>(TokenRequestTimeout.maximumInMilliseconds()))
         .add(
             customer.name(),
             new PendingOperation(onAdmitted, onRefused),
             now,
-            now + tokenRequestTimeout(now));
+            now + tokenRequestTimeout(holder, now));
     scheduleSend();
   }
 
-  private long tokenRequestTimeout(long now) {
+  private long tokenRequestTimeout(String holder, long now) {
     boolean isNew = now - startedAt < STARTUP_PERIOD_IN_MILLISECONDS;
-    return isNew
-        ? STARTUP_TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS
-        : TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS;
+    long minimum = isNew ? STARTUP_TOKEN_REQUEST_TIMEOUT_IN_MILLISECONDS : 0;
+    return Math.max(minimum, timeoutOf(holder).inMilliseconds());
+  }
+
+  private TokenRequestTimeout timeoutOf(String holder) {
+    return timeoutsByHolder.computeIfAbsent(holder, key -> new TokenRequestTimeout());
   }
 
   private void scheduleSend() {
@@ -279,6 +286,7 @@
     Map<String, Integer> granted = TokenCounts.byCustomer(grant.getGrantsList());
     TokenRequestBatcher.Granted<PendingOperation> outcome =
         batcher.onGrant(grant.getAskId(), granted, clock.now());
+    outcome.answeredAfter().ifPresent(timeoutOf(holder)::onAnswer);
     outcome.unused().forEach((customer, count) -> scheduleReturn(holder, customer, count));
     List<PendingOperation> refused = new ArrayList<>();
     for (String customer : granted.keySet()) {
