A gateway that reaches few endpoints, or few VMs, waits before it orders a promotion

Ruled out: asking other VMs before each order (a round trip more in each failover). Change: OrderPermission: a poll that reached half of the endpoints or fewer counts after 6 s of such polls, and a VM whose monitored peers are mostly silent polls after 10 s; both outlast cuts that end by themselves, and a fleet that has lost the rest for good still promotes. One log line for each change of the members instead of one for each member.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.NetClient;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.GroupLimits;
@@ -29,6 +30,7 @@
   private final EventLog log;
   private final PromotionCoordinator promotions;
   private Predicate<String> assignedGateway = group -> true;
+  private BooleanSupplier isolated = () -> false;
   private Catalog catalog = Catalog.EMPTY;
   private Optional<String> probeCustomer = Optional.empty();
   private Set<String> takenOutDataCentres = Set.of();
@@ -62,6 +64,16 @@
     assignedGateway = predicate;
   }
 
+  /** Sets the condition that tells whether most of the VMs that this VM monitors are silent. */
+  public void setIsolated(BooleanSupplier condition) {
+    isolated = condition;
+  }
+
+  /** Returns whether most of the VMs that this VM monitors do not answer it. */
+  boolean isIsolated() {
+    return isolated.getAsBoolean();
+  }
+
   /**
    * Returns whether this VM is the assigned gateway of a group, the only one that orders
    * promotions.
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.failover.OrderPermission;
 import org.toucanmast.core.failover.OutageEstimate;
 import org.toucanmast.core.failover.PrimaryTracker;
 import org.toucanmast.core.failover.Succession;
@@ -85,6 +86,7 @@
   private final Map<String, Long> probeSentAt = new HashMap<>();
   private final Set<String> unansweredProbes = new HashSet<>();
   private final List<Succession.Candidate> candidates = new ArrayList<>();
+  private final OrderPermission permission = new OrderPermission();
   private Optional<String> lastPrimary = Optional.empty();
   private long noPrimarySince = Long.MAX_VALUE;
   private long outageSince = Long.MAX_VALUE;
@@ -148,6 +150,9 @@
     boolean reachable =
         primary().filter(pool -> pool.isReachable(now) && pool.acceptsPrimaryWork(now)).isPresent();
     outageSince = reachable ? Long.MAX_VALUE : Math.min(outageSince, now);
+    if (reachable) {
+      permission.onPrimaryUsable();
+    }
   }
 
   /**
@@ -215,6 +220,7 @@
     if (orderedAt != Long.MAX_VALUE && (active || waiting)) {
       probeAll(now);
     }
+    permission.onIsolation(context.isIsolated(), now);
     if (!context.isAssignedGateway(group)) {
       return;
     }
@@ -223,6 +229,7 @@
     }
     if (now >= ordersPausedUntil
         && mustReplacePrimary(primary, now)
+        && permission.mayPoll(now)
         && context.promotions().mayOrder(group)) {
       replacePrimary(primary, now);
     }
@@ -357,7 +364,11 @@
       return;
     }
     pollStartedAt = Long.MAX_VALUE;
-    Optional<String> candidate = Succession.choose(candidates);
+    int reachablePrimaries = (int) primary.stream().filter(pool -> pool.isReachable(now)).count();
+    int answered = candidates.size() + reachablePrimaries;
+    boolean conclusive = permission.mayChoose(answered, pools.size(), now);
+    Optional<String> candidate =
+        conclusive ? Succession.choose(candidates) : Optional.empty();
     context.log().log(
         EventKind.PROMOTION,
         "considered",
@@ -367,6 +378,8 @@
         primary.map(pool -> pool.entry().id()).orElse("none"),
         "candidates",
         candidates,
+        "conclusive",
+        conclusive,
         "successor",
         candidate.orElse("none"));
     if (candidate.isPresent()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetMembership.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetMembership.java
@@ -123,6 +123,11 @@
     onChanged.run();
   }
 
+  /** Returns whether most of the VMs that this VM monitors do not answer it. */
+  boolean isIsolated() {
+    return view.isIsolated();
+  }
+
   /** Returns whether this VM watches the store on behalf of its data centre. */
   boolean isWatcher() {
     return WatcherPlan.isWatcher(self.description(), descriptions(), view);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -82,7 +82,6 @@
     }
     members.put(object.name(), member.get());
     links.add(member.get());
-    log.log(EventKind.MEMBERSHIP, "member", "peer", object.name(), "members", members.size());
     scheduleMembersChanged();
   }
 
@@ -107,6 +106,7 @@
       vertx.runOnContext(
           ignored -> {
             changeScheduled = false;
+            log.log(EventKind.MEMBERSHIP, "members changed", "members", members.size());
             membership.setMembers(members);
           });
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -158,6 +158,7 @@
     this.mirrors =
         new StoreMirrors(
             vertx, ports.store(), clock, log, links, settings.name(), mirrorsListener());
+    context.setIsolated(membership::isIsolated);
     clock.addDisagreementListener(this::onClockDisagreement);
     createMirrors();
   }
