Start to watch the store after the others are known; say that the store refuses only while watching it

Cause 2: a VM that follows and has no objects yet reported at each retry that the store refuses it and at the next tick that it does not, a new report for the whole fleet each time. Found by reading.

Change: watching starts 0.6 s after the start; only a watcher reports a refusal. FleetLinksTest: links open with the first statement, close when unused, and report a write that could not be sent as not sent.

--- a/core/src/main/java/org/toucanmast/core/membership/MonitoringPlan.java
+++ b/core/src/main/java/org/toucanmast/core/membership/MonitoringPlan.java
@@ -80,8 +80,7 @@
       List<String> ring = rings.get(names.get((index + distance) % names.size()));
       int offset = (distance - 1) * count * ring.size() / others;
       addSubject(
-          rings.get(names.get(index)).get(place),
-          ring.get((offset + turn / others) % ring.size()));
+          rings.get(names.get(index)).get(place), ring.get((offset + turn / others) % ring.size()));
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -67,7 +67,6 @@
   private boolean connectFailed;
   private boolean connectFailureLogged;
   private boolean suspected;
-  private boolean statementsOutstanding;
   private long lastStatementAt = Long.MIN_VALUE / 2;
   private long lastCallId;
 
@@ -153,7 +152,6 @@
     }
     if (frame.hasCall() || frame.hasTokenAsk()) {
       liveness.onRequestSent(now);
-      statementsOutstanding = true;
     }
     socket.write(FrameReader.encode(frame));
   }
@@ -285,8 +283,7 @@
       for (FleetFrame frame : reader.feed(bytes)) {
         onFrame(frame);
       }
-      statementsOutstanding = !calls.isEmpty();
-      liveness.onReceived(statementsOutstanding, clock.now());
+      liveness.onReceived(!calls.isEmpty(), clock.now());
       updateSuspicion(clock.now());
     } catch (InvalidProtocolBufferException e) {
       disconnect("invalid frame");
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -367,8 +367,7 @@
     int reachablePrimaries = (int) primary.stream().filter(pool -> pool.isReachable(now)).count();
     int answered = candidates.size() + reachablePrimaries;
     boolean conclusive = permission.mayChoose(answered, pools.size(), now);
-    Optional<String> candidate =
-        conclusive ? Succession.choose(candidates) : Optional.empty();
+    Optional<String> candidate = conclusive ? Succession.choose(candidates) : Optional.empty();
     context.log().log(
         EventKind.PROMOTION,
         "considered",
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
@@ -208,8 +208,7 @@
     }
     batchersByHolder
         .computeIfAbsent(
-            holder,
-            key -> new TokenRequestBatcher<>(TokenRequestTimeout.maximumInMilliseconds()))
+            holder, key -> new TokenRequestBatcher<>(TokenRequestTimeout.maximumInMilliseconds()))
         .add(
             customer.name(),
             new PendingOperation(onAdmitted, onRefused),
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -29,6 +29,9 @@
   /** Minimum time between two requests for a peer's mirror of a kind; an answer may be large. */
   private static final long PULL_INTERVAL_IN_MILLISECONDS = 300;
 
+  /** Time after the start in which the listings and the other VMs' entries arrive. */
+  private static final long STARTUP_DELAY_IN_MILLISECONDS = 600;
+
   /** Receives what concerns the VM's neighbours. */
   interface Listener {
     /** Neighbours may lack changes of a mirror. */
@@ -47,7 +50,9 @@
   private final MirrorFreshness freshness;
   private final Map<String, KindMirror> mirrors = new HashMap<>();
   private final Map<String, Long> lastPullAt = new HashMap<>();
+  private final long startedAt;
   private boolean assigned;
+  private boolean watching;
   private boolean storeRefused;
 
   StoreMirrors(
@@ -64,7 +69,8 @@
     this.log = log;
     this.links = links;
     this.listener = listener;
-    this.freshness = new MirrorFreshness(vm, clock.now());
+    this.startedAt = clock.now();
+    this.freshness = new MirrorFreshness(vm, startedAt);
   }
 
   void add(String kind, long waitInMilliseconds, KindMirror.Listener kindListener) {
@@ -102,8 +108,12 @@
     if (available) {
       freshness.onStoreAnswered(clock.now());
     }
-    if (storeRefused == available) {
-      storeRefused = !available;
+    setStoreRefused(watching && !available);
+  }
+
+  private void setStoreRefused(boolean newStoreRefused) {
+    if (storeRefused != newStoreRefused) {
+      storeRefused = newStoreRefused;
       listener.onStoreAccessChanged();
     }
   }
@@ -111,16 +121,21 @@
   /** Sets whether this VM watches the store on behalf of its data centre. */
   void setAssigned(boolean newAssigned) {
     assigned = newAssigned;
-    updateWatching();
   }
 
-  /** Starts to watch the store if peers have passed on nothing recent; called periodically. */
+  /**
+   * Starts or stops watching the store; must be called periodically.
+   *
+   * <p>A VM that has just started watches only after a while: until it knows the others, it would
+   * take itself for the watcher, and so would every VM of a fleet that starts at once.
+   */
   void updateWatching() {
-    boolean watching = assigned || freshness.isOutdated(clock.now());
+    long now = clock.now();
+    boolean settled = now - startedAt >= STARTUP_DELAY_IN_MILLISECONDS;
+    watching = settled && (assigned || freshness.isOutdated(now));
     mirrors.values().forEach(mirror -> mirror.setWatching(watching));
-    if (!watching && storeRefused) {
-      storeRefused = false;
-      listener.onStoreAccessChanged();
+    if (!watching) {
+      setStoreRefused(false);
     }
   }
 
--- /dev/null
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
@@ -0,0 +1,237 @@
+package org.toucanmast.runtime.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.toucanmast.core.group.Position;
+import org.toucanmast.core.link.LinkUse;
+import org.toucanmast.core.statement.Operation;
+import org.toucanmast.core.statement.RouteKind;
+import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.StatementResult;
+import org.toucanmast.runtime.clock.VmClock;
+import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.schema.FleetPulse;
+import org.toucanmast.schema.MirrorPull;
+import org.toucanmast.schema.MirrorPush;
+import org.toucanmast.schema.TokenAsk;
+import org.toucanmast.schema.TokenGrant;
+import org.toucanmast.schema.TokenReturn;
+
+/** Tests links between two VMs on the loopback interface. */
+@Timeout(30)
+class FleetLinksTest {
+  private static final StatementRequest WRITE =
+      new StatementRequest(
+          "request",
+          "group",
+          "customer",
+          Operation.WRITE,
+          "WRITE x y",
+          Optional.empty(),
+          Map.of(),
+          RouteKind.PRIMARY,
+          0,
+          Position.NONE,
+          StatementRequest.NO_TRANSACTION,
+          false,
+          1,
+          1_000);
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final List<String> heartbeats = new CopyOnWriteArrayList<>();
+  private final FleetLinks first = links("vm-1");
+  private final FleetLinks second = links("vm-2");
+  private final int port = freePort();
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  private FleetLinks links(String vm) {
+    return new FleetLinks(
+        vertx.createNetClient(),
+        vertx.createNetServer(),
+        new VmClock(),
+        new EventLog(vm, OutputStream.nullOutputStream()),
+        new RecordingHandler(vm),
+        vm,
+        1);
+  }
+
+  @AfterEach
+  void close() {
+    vertx.close();
+  }
+
+  private <T> T onEventLoop(Supplier<T> action) throws Exception {
+    CompletableFuture<T> done = new CompletableFuture<>();
+    vertx.runOnContext(ignored -> done.complete(action.get()));
+    return done.get(10, TimeUnit.SECONDS);
+  }
+
+  private void startSecond() throws Exception {
+    CompletableFuture<Object> listening = new CompletableFuture<>();
+    vertx.runOnContext(
+        ignored -> second.start("127.0.0.1", port).onSuccess(done -> listening.complete(true)));
+    listening.get(10, TimeUnit.SECONDS);
+  }
+
+  private void knowSecond() throws Exception {
+    onEventLoop(
+        () -> {
+          first.add(new FleetMember("vm-2", "127.0.0.1", port, "a", 1, 1));
+          return true;
+        });
+  }
+
+  private String outcomeOfWrite() throws Exception {
+    CompletableFuture<String> outcome = new CompletableFuture<>();
+    vertx.runOnContext(
+        ignored ->
+            first
+                .availableLink("vm-2")
+                .orElseThrow()
+                .call(
+                    WRITE,
+                    new FleetLink.CallHandler() {
+                      @Override
+                      public void onResult(StatementResult result) {
+                        outcome.complete("result");
+                      }
+
+                      @Override
+                      public void onLost() {
+                        outcome.complete("lost");
+                      }
+
+                      @Override
+                      public void onNotSent() {
+                        outcome.complete("not sent");
+                      }
+                    }));
+    return outcome.get(10, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void should_open_a_link_with_the_first_statement() throws Exception {
+    startSecond();
+    knowSecond();
+    assertThat(onEventLoop(first::openLinks)).isZero();
+
+    assertThat(outcomeOfWrite()).isEqualTo("result");
+    assertThat(onEventLoop(first::openLinks)).isEqualTo(1);
+  }
+
+  @Test
+  void should_report_a_write_as_not_sent_if_no_connection_could_be_opened() throws Exception {
+    knowSecond();
+
+    assertThat(outcomeOfWrite()).isEqualTo("not sent");
+    assertThat(onEventLoop(() -> first.availableLink("vm-2").isPresent())).isFalse();
+    assertThat(onEventLoop(() -> first.isSuspected("vm-2"))).isTrue();
+  }
+
+  @Test
+  void should_keep_a_link_only_while_it_is_needed() throws Exception {
+    startSecond();
+    knowSecond();
+    onEventLoop(
+        () -> {
+          first.setPeers(LinkUse.MONITORING, Set.of("vm-2"));
+          return true;
+        });
+    await().until(() -> onEventLoop(first::openLinks) == 1);
+    assertThat(heartbeats).contains("vm-1 to vm-2");
+
+    onEventLoop(
+        () -> {
+          first.setPeers(LinkUse.MONITORING, Set.of());
+          first.tick();
+          return true;
+        });
+
+    assertThat(onEventLoop(first::openLinks)).isZero();
+  }
+
+  /** Answers statements with a success and records heartbeats. */
+  private final class RecordingHandler implements FleetMessageHandler {
+    private final String vm;
+
+    private RecordingHandler(String vm) {
+      this.vm = vm;
+    }
+
+    @Override
+    public void execute(
+        StatementRequest request, String originVm, Consumer<StatementResult> consumer) {
+      consumer.accept(StatementResult.emptySuccess());
+    }
+
+    @Override
+    public void onOriginVmLost(String originVm) {
+      // No transaction is open.
+    }
+
+    @Override
+    public FleetPulse heartbeatFor(String peer) {
+      heartbeats.add(vm + " to " + peer);
+      return FleetPulse.getDefaultInstance();
+    }
+
+    @Override
+    public void onHeartbeat(String peer, FleetPulse heartbeat) {
+      // Recorded when it is sent.
+    }
+
+    @Override
+    public TokenGrant onTokenRequest(TokenAsk request) {
+      return TokenGrant.getDefaultInstance();
+    }
+
+    @Override
+    public void onTokenReturn(TokenReturn unused) {
+      // No tokens are held.
+    }
+
+    @Override
+    public void onTokenGrant(String holder, TokenGrant grant) {
+      // No tokens are requested.
+    }
+
+    @Override
+    public MirrorPush mirrorContent(MirrorPull request) {
+      return MirrorPush.getDefaultInstance();
+    }
+
+    @Override
+    public void onMirrorContent(String peer, MirrorPush content) {
+      // No mirror is kept.
+    }
+
+    @Override
+    public void onReachabilityChanged() {
+      // The tests look at the links themselves.
+    }
+  }
+}
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/GatewayContextTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/GatewayContextTest.java
@@ -8,7 +8,9 @@
 import org.toucanmast.core.statement.StatementRequest;
 
 class GatewayContextTest {
-  /** A statement of a former transaction would otherwise run inside another caller's transaction. */
+  /**
+   * A statement of a former transaction would otherwise run inside another caller's transaction.
+   */
   @Test
   void should_not_repeat_the_transaction_handles_of_an_earlier_run_of_the_vm() {
     Set<Long> earlier = new HashSet<>();
