Place gateways in data centres that have endpoints, and reads near their gateway while slots are free

A statement crosses from its entry VM to the gateway, and again from the gateway to an endpoint: at five data centres, three with endpoints, two gateways of five had no endpoint nearby, and reads went to any replica.

Ruled out: a gateway for reads in each data centre (several queues for one endpoint; open). Sticking to the data centres whose endpoints are listed now (entries lapse during an outage of the store and would move gateways; they are remembered).

--- a/core/src/main/java/org/toucanmast/core/link/ConnectBackoff.java
+++ b/core/src/main/java/org/toucanmast/core/link/ConnectBackoff.java
@@ -8,7 +8,7 @@
  */
 public final class ConnectBackoff {
   /** Statements wait this long for a connection: many round trips. */
-  public static final long CONNECT_PATIENCE_IN_MILLISECONDS = 200;
+  public static final long CONNECT_WAIT_IN_MILLISECONDS = 200;
 
   private static final long INITIAL_DELAY_IN_MILLISECONDS = 250;
   private static final long MAXIMUM_DELAY_IN_MILLISECONDS = 1_000;
@@ -63,7 +63,7 @@
    */
   public boolean isOverdue(long now) {
     return attemptStartedAt != Long.MIN_VALUE
-        && now - attemptStartedAt > CONNECT_PATIENCE_IN_MILLISECONDS;
+        && now - attemptStartedAt > CONNECT_WAIT_IN_MILLISECONDS;
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -339,8 +339,8 @@
           "calls",
           calls.size());
     }
-    failCalls(call -> true);
     failUnsent();
+    failCalls(call -> true);
     updateSuspicion(clock.now());
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -29,6 +29,7 @@
   private final VmClock clock;
   private final EventLog log;
   private final PromotionCoordinator promotions;
+  private final String dataCentre;
   private Predicate<String> assignedGateway = group -> true;
   private BooleanSupplier isolated = () -> false;
   private Catalog catalog = Catalog.EMPTY;
@@ -39,6 +40,7 @@
   /**
    * Creates a context with an empty configuration.
    *
+   * @param dataCentre the data centre of the VM
    * @param incarnation a number that increases with each run of the process by more than the
    *     transactions of a run, so that no transaction has the handle of one of an earlier run
    */
@@ -49,6 +51,7 @@
       VmClock clock,
       EventLog log,
       PromotionCoordinator promotions,
+      String dataCentre,
       long incarnation) {
     this.vertx = vertx;
     this.client = client;
@@ -56,6 +59,7 @@
     this.clock = clock;
     this.log = log;
     this.promotions = promotions;
+    this.dataCentre = dataCentre;
     this.lastTransactionHandle = incarnation * HANDLES_PER_INCARNATION_STEP;
   }
 
@@ -118,6 +122,10 @@
     return log;
   }
 
+  String dataCentre() {
+    return dataCentre;
+  }
+
   PromotionCoordinator promotions() {
     return promotions;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -74,7 +74,7 @@
     this.group = group;
     this.primaryMonitor = new PrimaryMonitor(context, group, pools, history, this::dispatch);
     this.queues = new StatementQueues(context, pools, primaryMonitor);
-    this.readPlacement = new ReadPlacement(pools, history, primaryMonitor);
+    this.readPlacement = new ReadPlacement(context.dataCentre(), pools, history, primaryMonitor);
     this.statementLogger = new StatementLogger(context, group, primaryMonitor);
     this.resultHandler =
         new AttemptResultHandler(
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/ReadPlacement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/ReadPlacement.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.toucanmast.core.freshness.PositionHistory;
+import org.toucanmast.core.gateway.ReadCost;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
@@ -12,22 +13,10 @@
 /**
  * Chooses the endpoint for a read that any endpoint with a recent enough log may serve.
  *
- * <p>Designed for many reads and few writes: reads are spread over the replicas by load, prefer
- * endpoints with an idle connection, and leave the primary's slots to writes.
+ * <p>Designed for many reads and few writes: reads go to the cheapest endpoint by {@link ReadCost}
+ * among those whose log is recent enough.
  */
 final class ReadPlacement {
-  /**
-   * Load added where a connection must be opened, which takes about a third of a slot for the time
-   * of a statement.
-   */
-  private static final double COST_OF_NEW_CONNECTION = 0.3;
-
-  /**
-   * Load added for the primary: reads leave its slots to writes while the load of a replica is
-   * higher by no more than this.
-   */
-  private static final double COST_OF_PRIMARY = 0.6;
-
   /** What to do with a read. */
   enum Kind {
     /** Run the read at an endpoint. */
@@ -55,12 +44,22 @@
     }
   }
 
+  private final String dataCentre;
   private final Map<String, EndpointPool> pools;
   private final PositionHistory history;
   private final PrimaryMonitor primaryMonitor;
 
+  /**
+   * Creates a placement over the given pools.
+   *
+   * @param dataCentre the data centre of the gateway
+   */
   ReadPlacement(
-      Map<String, EndpointPool> pools, PositionHistory history, PrimaryMonitor primaryMonitor) {
+      String dataCentre,
+      Map<String, EndpointPool> pools,
+      PositionHistory history,
+      PrimaryMonitor primaryMonitor) {
+    this.dataCentre = dataCentre;
     this.pools = pools;
     this.history = history;
     this.primaryMonitor = primaryMonitor;
@@ -105,13 +104,11 @@
   }
 
   private double cost(EndpointPool pool, String customer) {
-    double cost = pool.load();
-    if (!pool.hasIdleConnection(customer)) {
-      cost += COST_OF_NEW_CONNECTION;
-    }
-    if (primaryMonitor.isPrimary(pool.entry().id())) {
-      cost += COST_OF_PRIMARY;
-    }
-    return cost;
+    return new ReadCost(
+            pool.load(),
+            pool.hasIdleConnection(customer),
+            primaryMonitor.isPrimary(pool.entry().id()),
+            pool.entry().dataCentre().equals(dataCentre))
+        .value();
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetMembership.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetMembership.java
@@ -156,6 +156,13 @@
     return capacities;
   }
 
+  /** Returns the data centres of the registered VMs and of this VM. */
+  Map<String, String> dataCentres() {
+    Map<String, String> dataCentres = new HashMap<>();
+    members.forEach((name, member) -> dataCentres.put(name, member.dataCentre()));
+    return dataCentres;
+  }
+
   /** Returns whether each VM that this VM monitors has answered or cannot be connected to. */
   boolean areNeighboursKnown() {
     return view.plan().subjectsOf(self.name()).stream().allMatch(links::isReachabilityKnown);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
@@ -1,24 +1,45 @@
 package org.toucanmast.runtime.session;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import org.toucanmast.core.membership.Rendezvous;
+import java.util.Set;
+import org.toucanmast.core.membership.GatewayRanking;
 
-/** Assigns gateway VMs to database groups by weighted rendezvous hashing. */
+/**
+ * Assigns gateway VMs to database groups.
+ *
+ * <p>The data centres in which a group has had endpoints are remembered, so that an entry that is
+ * missing for a while moves no gateway.
+ */
 final class GatewayRouter {
   private final Map<String, List<String>> vmsByGroup = new HashMap<>();
+  private final Map<String, Set<String>> endpointDataCentres = new HashMap<>();
   private Map<String, Double> capacities = Map.of();
+  private Map<String, String> dataCentres = Map.of();
 
-  /** Sets the reachable VMs, with their capacities in cores. */
-  void onFleetChanged(Map<String, Double> reachable) {
+  /** Sets the reachable VMs, with their capacities in cores, and the data centres of all VMs. */
+  void onFleetChanged(Map<String, Double> reachable, Map<String, String> dataCentresOfVms) {
     capacities = Map.copyOf(reachable);
+    dataCentres = Map.copyOf(dataCentresOfVms);
     vmsByGroup.clear();
   }
 
+  /** Records that a group has an endpoint in a data centre. */
+  void onEndpoint(String group, String dataCentre) {
+    if (endpointDataCentres.computeIfAbsent(group, any -> new HashSet<>()).add(dataCentre)) {
+      vmsByGroup.remove(group);
+    }
+  }
+
   /** Returns the reachable VMs in the order in which they are preferred as gateway of a group. */
   List<String> rank(String group) {
-    return vmsByGroup.computeIfAbsent(group, key -> Rendezvous.rankByWeight(group, capacities));
+    return vmsByGroup.computeIfAbsent(
+        group,
+        key ->
+            GatewayRanking.rank(
+                group, capacities, dataCentres, endpointDataCentres.getOrDefault(group, Set.of())));
   }
 
   /** Returns whether a VM is the preferred gateway of a group. */
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
@@ -29,13 +29,15 @@
   private final GatewayContext context;
   private final PlatformModel model;
   private final EventLog log;
+  private final GatewayRouter router;
   private final Map<String, GroupGateway> gateways = new HashMap<>();
   private final Map<String, EndpointEntry> entries = new HashMap<>();
   private final Set<String> takenOut = new HashSet<>();
   private long sweepTimer;
   private boolean frequentSweeps;
 
-  GroupGateways(GatewayContext context, PlatformModel model, EventLog log) {
+  GroupGateways(GatewayContext context, PlatformModel model, EventLog log, GatewayRouter router) {
+    this.router = router;
     this.context = context;
     this.model = model;
     this.log = log;
@@ -82,6 +84,7 @@
       gateway(previous.group()).onEndpointRemoved(object.name());
     }
     log.log(EventKind.ENDPOINT, "entry", "endpoint", object.name(), "entry", entry.get());
+    router.onEndpoint(entry.get().group(), entry.get().dataCentre());
     gateway(entry.get().group()).onEndpointUpdated(entry.get());
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -123,8 +123,10 @@
             log,
             new PromotionCoordinator(
                 ports.store(), ports.promotions(), clock, log, settings.name()),
+            settings.dataCentre(),
             incarnation);
-    this.gateways = new GroupGateways(context, model, log);
+    this.router = new GatewayRouter();
+    this.gateways = new GroupGateways(context, model, log, router);
     this.links =
         new FleetLinks(
             client,
@@ -134,7 +136,6 @@
             this,
             settings.name(),
             incarnation);
-    this.router = new GatewayRouter();
     context.setAssignedGateway(group -> router.isFirst(group, settings.name()));
     this.allowances = new SessionAllowances(vertx, clock, log, settings.name(), links);
     this.sessions =
@@ -294,7 +295,7 @@
     Map<String, Double> nowReachable = membership.reachable();
     if (!nowReachable.equals(reachable)) {
       reachable = nowReachable;
-      router.onFleetChanged(reachable);
+      router.onFleetChanged(reachable, membership.dataCentres());
     }
     allowances.onFleetChanged(membership.members(), reachable.keySet());
     mirrors.setAssigned(membership.isWatcher());
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/GatewayContextTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/GatewayContextTest.java
@@ -14,8 +14,8 @@
   @Test
   void should_not_repeat_the_transaction_handles_of_an_earlier_run_of_the_vm() {
     Set<Long> earlier = new HashSet<>();
-    GatewayContext first = new GatewayContext(null, null, null, null, null, null, 1_000);
-    GatewayContext second = new GatewayContext(null, null, null, null, null, null, 1_800);
+    GatewayContext first = new GatewayContext(null, null, null, null, null, null, "a", 1_000);
+    GatewayContext second = new GatewayContext(null, null, null, null, null, null, "a", 1_800);
     for (int transaction = 0; transaction < 10_000; transaction++) {
       earlier.add(first.nextTransactionHandle());
     }
