--- a/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/toucanmast/core/membership/Rendezvous.java
@@ -17,6 +17,9 @@
 public final class Rendezvous {
   private static final HashFunction HASH = Hashing.murmur3_128(0x70C4);
 
+  /** A member and the value that it is sorted by. */
+  private record Valued<T>(String member, T value) {}
+
   private Rendezvous() {}
 
   /** Returns the members in the order of their rank for the key, the assigned member first. */
@@ -43,8 +46,6 @@
   /** Sorts members by a value that is computed once for each; equal values sort by name. */
   private static <T extends Comparable<T>> List<String> sortedBy(
       Collection<String> members, Function<String, T> value) {
-    record Valued<T>(String member, T value) {}
-
     return members.stream()
         .map(member -> new Valued<>(member, value.apply(member)))
         .sorted(
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -39,9 +39,7 @@
   /** The primary is probed when one of its replies has been outstanding for this long. */
   private static final long PROBE_AFTER_WAITING_IN_MILLISECONDS = 200;
 
-  /**
-   * A probe without a reply for this long is reported as silence of the endpoint; many round trips.
-   */
+  /** A probe without a reply for this long counts as silence of the endpoint; many round trips. */
   private static final long PROBE_TIMEOUT_IN_MILLISECONDS = 250;
 
   /** Reads wait this long for the primary's position: a handshake and some round trips. */
@@ -364,9 +362,9 @@
       return;
     }
     pollStartedAt = Long.MAX_VALUE;
-    int reachablePrimaries = (int) primary.stream().filter(pool -> pool.isReachable(now)).count();
-    int answered = candidates.size() + reachablePrimaries;
-    boolean conclusive = permission.mayChoose(answered, pools.size(), now);
+    int answering =
+        candidates.size() + (primary.isPresent() && primary.get().isReachable(now) ? 1 : 0);
+    boolean conclusive = permission.mayChoose(answering, pools.size(), now);
     Optional<String> candidate = conclusive ? Succession.choose(candidates) : Optional.empty();
     context.log().log(
         EventKind.PROMOTION,
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -146,14 +146,7 @@
             new StatementSender(settings.name(), this, links, router, clock, log),
             allowances,
             new SessionMetrics(metrics));
-    FleetMember self =
-        new FleetMember(
-            settings.name(),
-            settings.host(),
-            settings.linkPort(),
-            settings.dataCentre(),
-            settings.capacity(),
-            incarnation);
+    FleetMember self = member(settings, incarnation);
     this.membership = new FleetMembership(vertx, log, self, links, this::onFleetChanged);
     this.registry = new FleetRegistry(vertx, ports.store(), clock, log, self, links, membership);
     this.mirrors =
@@ -164,6 +157,16 @@
     createMirrors();
   }
 
+  private static FleetMember member(SessionVmSettings settings, long incarnation) {
+    return new FleetMember(
+        settings.name(),
+        settings.host(),
+        settings.linkPort(),
+        settings.dataCentre(),
+        settings.capacity(),
+        incarnation);
+  }
+
   private void createMirrors() {
     mirrors.add(
         model.configurationKind(), CONFIGURATION_WAIT_IN_MILLISECONDS, configurationListener());
