--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -117,7 +117,9 @@
         "code",
         code,
         "configuration",
-        context.catalog().version());
+        context.catalog().version(),
+        "ages",
+        context.mirrorAges());
     closeWith(context.dialect().refusal(code, reason));
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
@@ -1,5 +1,6 @@
 package org.toucanmast.runtime.session;
 
+import java.util.function.Supplier;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
@@ -14,6 +15,7 @@
   private final SessionAllowances allowances;
   private final SessionMetrics metrics;
   private Catalog catalog = Catalog.EMPTY;
+  private Supplier<String> mirrorAges = () -> "";
   private boolean initialized;
   private boolean stopping;
 
@@ -64,6 +66,15 @@
     catalog = newCatalog;
   }
 
+  /** Returns how old this VM's knowledge of each kind of the store's objects is, for the log. */
+  String mirrorAges() {
+    return mirrorAges.get();
+  }
+
+  void setMirrorAges(Supplier<String> newMirrorAges) {
+    mirrorAges = newMirrorAges;
+  }
+
   /** Returns whether this VM has the state that it needs to handle messages of sessions. */
   boolean isInitialized() {
     return initialized;
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -152,9 +152,11 @@
     this.mirrors =
         new StoreMirrors(
             vertx, ports.store(), clock, log, links, settings.name(), mirrorsListener());
+    sessions.setMirrorAges(mirrors::describeAges);
     context.setIsolated(membership::isIsolated);
     clock.addDisagreementListener(this::onClockDisagreement);
     createMirrors();
+    mirrors.registerAges(metrics);
   }
 
   private static FleetMember member(SessionVmSettings settings, long incarnation) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
@@ -141,7 +141,9 @@
         "reason",
         reason,
         "configuration",
-        context.catalog().version());
+        context.catalog().version(),
+        "ages",
+        context.mirrorAges());
     write(context.dialect().failure(code, reason, state, lastCommitted));
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.session;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
@@ -7,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.StringJoiner;
+import java.util.TreeMap;
 import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -49,7 +54,9 @@
   private final Listener listener;
   private final MirrorFreshness freshness;
   private final Map<String, KindMirror> mirrors = new HashMap<>();
+  private final Map<String, MirrorFreshness> freshnessByKind = new TreeMap<>();
   private final Map<String, Long> lastPullAt = new HashMap<>();
+  private final String vm;
   private final long startedAt;
   private boolean assigned;
   private boolean watching;
@@ -69,6 +76,7 @@
     this.log = log;
     this.links = links;
     this.listener = listener;
+    this.vm = vm;
     this.startedAt = clock.now();
     this.freshness = new MirrorFreshness(vm, startedAt);
   }
@@ -78,6 +86,9 @@
         new KindMirror.StoreListener() {
           @Override
           public void onStoreAvailability(boolean available) {
+            if (available) {
+              freshnessByKind.get(kind).onStoreAnswered(clock.now());
+            }
             StoreMirrors.this.onStoreAvailability(available);
           }
 
@@ -86,6 +97,7 @@
             listener.onMirrorsChanged();
           }
         };
+    freshnessByKind.put(kind, new MirrorFreshness(vm, startedAt));
     mirrors.put(
         kind,
         new KindMirror(vertx, store, log, kind, waitInMilliseconds, kindListener, storeListener));
@@ -118,6 +130,34 @@
     }
   }
 
+  /**
+   * Returns how long ago the store gave the answer from which this VM knows a kind, in
+   * milliseconds; empty if it has not answered anybody.
+   */
+  OptionalLong ageInMilliseconds(String kind) {
+    return freshnessByKind.get(kind).ageInMilliseconds(clock.now());
+  }
+
+  /** Registers a gauge of the age of each kind, in milliseconds; -1 while it is unknown. */
+  void registerAges(MetricRegistry metrics) {
+    for (String kind : freshnessByKind.keySet()) {
+      Gauge<Long> age = () -> ageInMilliseconds(kind).orElse(-1);
+      metrics.registerGauge("mirror.age." + kind, age);
+    }
+  }
+
+  /** Returns the ages of all kinds, in milliseconds, as a text for the log. */
+  String describeAges() {
+    long now = clock.now();
+    StringJoiner ages = new StringJoiner(" ");
+    freshnessByKind.forEach(
+        (kind, kindFreshness) -> {
+          OptionalLong age = kindFreshness.ageInMilliseconds(now);
+          ages.add(kind + "=" + (age.isPresent() ? age.getAsLong() : "unknown"));
+        });
+    return ages.toString();
+  }
+
   /** Sets whether this VM watches the store on behalf of its data centre. */
   void setAssigned(boolean newAssigned) {
     assigned = newAssigned;
@@ -143,9 +183,12 @@
   void describe(FleetPulse.Builder heartbeat) {
     freshness.ageInMilliseconds(clock.now()).ifPresent(heartbeat::setStoreAgeInMilliseconds);
     mirrors.forEach(
-        (kind, mirror) ->
-            heartbeat.addMirrors(
-                MirrorState.newBuilder().setKind(kind).setChangedAt(mirror.lastChangeRevision())));
+        (kind, mirror) -> {
+          MirrorState.Builder state =
+              MirrorState.newBuilder().setKind(kind).setChangedAt(mirror.lastChangeRevision());
+          ageInMilliseconds(kind).ifPresent(state::setAgeInMilliseconds);
+          heartbeat.addMirrors(state);
+        });
   }
 
   /** Requests what this VM's mirrors lack from the neighbour that sent a heartbeat. */
@@ -156,7 +199,13 @@
     }
     for (MirrorState state : heartbeat.getMirrorsList()) {
       KindMirror mirror = mirrors.get(state.getKind());
-      if (mirror == null || state.getChangedAt() <= mirror.lastChangeRevision()) {
+      if (mirror == null) {
+        continue;
+      }
+      if (state.getChangedAt() <= mirror.lastChangeRevision()) {
+        if (state.hasAgeInMilliseconds()) {
+          freshnessByKind.get(state.getKind()).onPeerAge(state.getAgeInMilliseconds(), now);
+        }
         continue;
       }
       Long lastPull = lastPullAt.get(state.getKind());
