Derive the waits of watches from the promises, and judge each kind of the store's objects by its own age

Cause: a watch that is sent into a silence of the store gets no answer, and only its own timeout shows it: 4 s of wait and 1 s of margin for the configuration, 5 + 1 s for endpoints, 8 + 1 s for data centres that are taken out. VMs that follow peers relied on them up to an age of 5.5 to 7 s, and that age was one for all kinds: the answer to any watch hid the silence of another. Class of fault: a promise rests on a failure detector that is slower than the promise.

Ruled out: changes not passed on (watchers refuse as well), changes held back by the store (the watch was sent into the silence; the retry got them in 8 ms).

Ages are kept and passed on by kind, at once where peers may have a high one.

--- a/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
@@ -3,21 +3,14 @@
 import java.util.OptionalLong;
 
 /**
- * How long ago the store answered a VM whose changes reach this VM, directly or through peers.
+ * How long ago the store gave the answer from which this VM knows the objects of one kind, directly
+ * or through peers. Each kind has its own age: the answers to one watch say nothing about another.
  *
  * <p>Load pattern: all watchers fail at once, or a VM is cut off from its peers but not from the
  * store. Each VM then asks the store itself, at different moments, so that the fleet does not
  * exceed the rates that the store serves.
  */
 public final class MirrorFreshness {
-  /**
-   * An age at which peers are no longer relied on: a watch's wait with its margin, and some hops.
-   */
-  private static final long MAXIMUM_AGE_IN_MILLISECONDS = 5_500;
-
-  /** VMs give up their reliance on peers over this time, not at the same moment. */
-  private static final long SPREAD_IN_MILLISECONDS = 1_500;
-
   /** Separates the hashes of names that differ in their last digit only; from Knuth. */
   private static final int HASH_MULTIPLIER = 0x9E3779B1;
 
@@ -29,12 +22,14 @@
    * Creates the state of a VM that has heard nothing yet.
    *
    * @param vm the name of the VM, which determines its part of the spread
+   * @param timing the age up to which peers are relied on, and its spread over the VMs
    * @param now the current time, in milliseconds
    */
-  public MirrorFreshness(String vm, long now) {
+  public MirrorFreshness(String vm, PropagationTiming timing, long now) {
     maximumAgeInMilliseconds =
-        MAXIMUM_AGE_IN_MILLISECONDS
-            + Math.floorMod(vm.hashCode() * HASH_MULTIPLIER, SPREAD_IN_MILLISECONDS);
+        timing.maximumAgeInMilliseconds()
+            + Math.floorMod(
+                vm.hashCode() * HASH_MULTIPLIER, Math.max(1, timing.spreadInMilliseconds()));
     startedAt = now;
   }
 
@@ -42,19 +37,28 @@
    * Records that the store answered this VM.
    *
    * @param now the current time, in milliseconds
+   * @return whether to pass the age on to peers at once
    */
-  public void onStoreAnswered(long now) {
-    answeredAt = now;
+  public boolean onStoreAnswered(long now) {
+    return onPeerAge(0, now);
   }
 
   /**
-   * Records the age that a peer passed on.
+   * Records the age that a peer passed on, whose objects this VM has.
    *
    * @param ageInMilliseconds the age at the peer
    * @param now the current time, in milliseconds
+   * @return whether to pass the age on to peers at once: the one that they may have is high, so
+   *     that they would not rely on it for much longer
    */
-  public void onPeerAge(long ageInMilliseconds, long now) {
+  public boolean onPeerAge(long ageInMilliseconds, long now) {
+    boolean wasHigh = isHigh(now);
     answeredAt = Math.max(answeredAt, now - Math.max(0, ageInMilliseconds));
+    return wasHigh && !isHigh(now);
+  }
+
+  private boolean isHigh(long now) {
+    return now - Math.max(answeredAt, startedAt) > maximumAgeInMilliseconds / 2;
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
@@ -31,8 +31,11 @@
    * Waits for changes of a kind after a revision; fails with a {@link StoreException}.
    *
    * @param waitInMilliseconds how long the store waits for the first change
+   * @param timeoutInMilliseconds after what time a watch without a complete answer fails; a store
+   *     that has become silent is noticed only by this
    */
-  Future<Changes> watch(String kind, long revision, long waitInMilliseconds);
+  Future<Changes> watch(
+      String kind, long revision, long waitInMilliseconds, long timeoutInMilliseconds);
 
   /** Returns one object; fails with a {@link StoreException}. */
   Future<StoredObject> get(String kind, String name);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -14,6 +14,8 @@
 import java.util.function.Consumer;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.membership.Rendezvous;
+import org.toucanmast.core.mirror.ChangePromises;
+import org.toucanmast.core.mirror.PropagationTiming;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.clock.VmClock;
@@ -53,12 +55,8 @@
   /** Connections that may wait to be accepted; a whole data centre may reconnect at once. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
-  /** How long a watch waits; a silent connection to the store is noticed after this time. */
-  private static final long CONFIGURATION_WAIT_IN_MILLISECONDS = 4_000;
-
-  private static final long ENDPOINT_WAIT_IN_MILLISECONDS = 5_000;
-  private static final long TAKEN_OUT_WAIT_IN_MILLISECONDS = 8_000;
-  private static final long MEMBER_WAIT_IN_MILLISECONDS = 15_000;
+  /** Time in which every VM learns of the others' entries; no promise to callers rests on it. */
+  private static final long MEMBERS_LIMIT_IN_MILLISECONDS = 16_000;
 
   /** While stopping, new sessions arrive until the load balancer has seen two refused probes. */
   private static final long BALANCER_REACTION_TIME_IN_MILLISECONDS = 2_300;
@@ -170,12 +168,12 @@
   }
 
   private void createMirrors() {
+    ChangePromises promises = settings.promises();
+    mirrors.add(model.configurationKind(), promises.configurationTiming(), configurationListener());
+    mirrors.add(model.endpointKind(), promises.drainingTiming(), gateways.endpointListener());
+    mirrors.add(model.takenOutKind(), promises.takenOutTiming(), gateways.dataCentreListener());
     mirrors.add(
-        model.configurationKind(), CONFIGURATION_WAIT_IN_MILLISECONDS, configurationListener());
-    mirrors.add(model.endpointKind(), ENDPOINT_WAIT_IN_MILLISECONDS, gateways.endpointListener());
-    mirrors.add(
-        model.takenOutKind(), TAKEN_OUT_WAIT_IN_MILLISECONDS, gateways.dataCentreListener());
-    mirrors.add(FleetRegistry.KIND, MEMBER_WAIT_IN_MILLISECONDS, registry);
+        FleetRegistry.KIND, PropagationTiming.within(MEMBERS_LIMIT_IN_MILLISECONDS), registry);
   }
 
   private StoreMirrors.Listener mirrorsListener() {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVmSettings.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVmSettings.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.session;
 
+import org.toucanmast.core.mirror.ChangePromises;
+
 /**
  * The settings of a VM that serves sessions.
  *
@@ -10,6 +12,7 @@
  * @param dataCentre the data centre that the VM runs in
  * @param capacity the processor capacity, in cores
  * @param graceInMilliseconds the time between the request to stop and the end of the process
+ * @param promises how soon acknowledged changes must have taken effect
  */
 public record SessionVmSettings(
     String name,
@@ -18,4 +21,5 @@
     int linkPort,
     String dataCentre,
     double capacity,
-    long graceInMilliseconds) {}
+    long graceInMilliseconds,
+    ChangePromises promises) {}
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -6,13 +6,16 @@
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.StringJoiner;
 import java.util.TreeMap;
 import org.toucanmast.core.mirror.MirrorFreshness;
+import org.toucanmast.core.mirror.PropagationTiming;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -28,7 +31,7 @@
 
 /**
  * The mirrors of the store's kinds at one VM. Few VMs watch the store; the others take changes from
- * their neighbours, and watch the store themselves if they hear nothing recent.
+ * their neighbours, and watch a kind themselves if they hear nothing recent of it.
  */
 final class StoreMirrors {
   /** Minimum time between two requests for a peer's mirror of a kind; an answer may be large. */
@@ -52,16 +55,16 @@
   private final EventLog log;
   private final FleetLinks links;
   private final Listener listener;
-  private final MirrorFreshness freshness;
-  private final Map<String, KindMirror> mirrors = new HashMap<>();
-  private final Map<String, MirrorFreshness> freshnessByKind = new TreeMap<>();
+  private final Map<String, MirroredKind> kinds = new TreeMap<>();
+  private final Set<String> refusedKinds = new HashSet<>();
   private final Map<String, Long> lastPullAt = new HashMap<>();
   private final String vm;
   private final long startedAt;
   private boolean assigned;
-  private boolean watching;
   private boolean storeRefused;
 
+  private record MirroredKind(KindMirror mirror, MirrorFreshness freshness) {}
+
   StoreMirrors(
       Vertx vertx,
       ObjectStore store,
@@ -78,18 +81,22 @@
     this.listener = listener;
     this.vm = vm;
     this.startedAt = clock.now();
-    this.freshness = new MirrorFreshness(vm, startedAt);
   }
 
-  void add(String kind, long waitInMilliseconds, KindMirror.Listener kindListener) {
+  void add(String kind, PropagationTiming timing, KindMirror.Listener kindListener) {
+    MirrorFreshness freshness = new MirrorFreshness(vm, timing, startedAt);
     KindMirror.StoreListener storeListener =
         new KindMirror.StoreListener() {
           @Override
           public void onStoreAvailability(boolean available) {
-            if (available) {
-              freshnessByKind.get(kind).onStoreAnswered(clock.now());
+            StoreMirrors.this.onStoreAvailability(kind, available);
+          }
+
+          @Override
+          public void onCurrent() {
+            if (freshness.onStoreAnswered(clock.now())) {
+              listener.onMirrorsChanged();
             }
-            StoreMirrors.this.onStoreAvailability(available);
           }
 
           @Override
@@ -97,18 +104,17 @@
             listener.onMirrorsChanged();
           }
         };
-    freshnessByKind.put(kind, new MirrorFreshness(vm, startedAt));
-    mirrors.put(
-        kind,
-        new KindMirror(vertx, store, log, kind, waitInMilliseconds, kindListener, storeListener));
+    KindMirror mirror =
+        new KindMirror(vertx, store, log, kind, timing, kindListener, storeListener);
+    kinds.put(kind, new MirroredKind(mirror, freshness));
   }
 
   void start() {
-    mirrors.values().forEach(KindMirror::start);
+    kinds.values().forEach(kind -> kind.mirror().start());
   }
 
   boolean areLoaded() {
-    return mirrors.values().stream().allMatch(KindMirror::isLoaded);
+    return kinds.values().stream().allMatch(kind -> kind.mirror().isLoaded());
   }
 
   /** Returns whether the store does not answer this VM. */
@@ -116,16 +122,20 @@
     return storeRefused;
   }
 
-  private void onStoreAvailability(boolean available) {
+  /** A VM that gets no answers for one kind counts as refused, whatever the other kinds get. */
+  private void onStoreAvailability(String kind, boolean available) {
     if (available) {
-      freshness.onStoreAnswered(clock.now());
+      refusedKinds.remove(kind);
+    } else if (kinds.get(kind).mirror().isWatching()) {
+      refusedKinds.add(kind);
     }
-    setStoreRefused(watching && !available);
+    updateStoreRefused();
   }
 
-  private void setStoreRefused(boolean newStoreRefused) {
-    if (storeRefused != newStoreRefused) {
-      storeRefused = newStoreRefused;
+  private void updateStoreRefused() {
+    boolean nowRefused = !refusedKinds.isEmpty();
+    if (storeRefused != nowRefused) {
+      storeRefused = nowRefused;
       listener.onStoreAccessChanged();
     }
   }
@@ -135,12 +145,12 @@
    * milliseconds; empty if it has not answered anybody.
    */
   OptionalLong ageInMilliseconds(String kind) {
-    return freshnessByKind.get(kind).ageInMilliseconds(clock.now());
+    return kinds.get(kind).freshness().ageInMilliseconds(clock.now());
   }
 
   /** Registers a gauge of the age of each kind, in milliseconds; -1 while it is unknown. */
   void registerAges(MetricRegistry metrics) {
-    for (String kind : freshnessByKind.keySet()) {
+    for (String kind : kinds.keySet()) {
       Gauge<Long> age = () -> ageInMilliseconds(kind).orElse(-1);
       metrics.registerGauge("mirror.age." + kind, age);
     }
@@ -148,13 +158,11 @@
 
   /** Returns the ages of all kinds, in milliseconds, as a text for the log. */
   String describeAges() {
-    long now = clock.now();
     StringJoiner ages = new StringJoiner(" ");
-    freshnessByKind.forEach(
-        (kind, kindFreshness) -> {
-          OptionalLong age = kindFreshness.ageInMilliseconds(now);
-          ages.add(kind + "=" + (age.isPresent() ? age.getAsLong() : "unknown"));
-        });
+    for (String kind : kinds.keySet()) {
+      OptionalLong age = ageInMilliseconds(kind);
+      ages.add(kind + "=" + (age.isPresent() ? age.getAsLong() : "unknown"));
+    }
     return ages.toString();
   }
 
@@ -164,7 +172,7 @@
   }
 
   /**
-   * Starts or stops watching the store; must be called periodically.
+   * Starts or stops watching each kind in the store; must be called periodically.
    *
    * <p>A VM that has just started watches only after a while: until it knows the others, it would
    * take itself for the watcher, and so would every VM of a fleet that starts at once.
@@ -172,63 +180,71 @@
   void updateWatching() {
     long now = clock.now();
     boolean settled = now - startedAt >= STARTUP_DELAY_IN_MILLISECONDS;
-    watching = settled && (assigned || freshness.isOutdated(now));
-    mirrors.values().forEach(mirror -> mirror.setWatching(watching));
-    if (!watching) {
-      setStoreRefused(false);
-    }
+    kinds.forEach(
+        (name, kind) -> {
+          boolean watching = settled && (assigned || kind.freshness().isOutdated(now));
+          kind.mirror().setWatching(watching);
+          if (!watching) {
+            refusedKinds.remove(name);
+          }
+        });
+    updateStoreRefused();
   }
 
   /** Adds the state of the mirrors to a heartbeat for a neighbour. */
   void describe(FleetPulse.Builder heartbeat) {
-    freshness.ageInMilliseconds(clock.now()).ifPresent(heartbeat::setStoreAgeInMilliseconds);
-    mirrors.forEach(
-        (kind, mirror) -> {
+    kinds.forEach(
+        (name, kind) -> {
           MirrorState.Builder state =
-              MirrorState.newBuilder().setKind(kind).setChangedAt(mirror.lastChangeRevision());
-          ageInMilliseconds(kind).ifPresent(state::setAgeInMilliseconds);
+              MirrorState.newBuilder()
+                  .setKind(name)
+                  .setChangedAt(kind.mirror().lastChangeRevision());
+          ageInMilliseconds(name).ifPresent(state::setAgeInMilliseconds);
           heartbeat.addMirrors(state);
         });
   }
 
   /** Requests what this VM's mirrors lack from the neighbour that sent a heartbeat. */
   void onHeartbeat(String vm, FleetPulse heartbeat) {
-    long now = clock.now();
-    if (heartbeat.hasStoreAgeInMilliseconds()) {
-      freshness.onPeerAge(heartbeat.getStoreAgeInMilliseconds(), now);
-    }
     for (MirrorState state : heartbeat.getMirrorsList()) {
-      KindMirror mirror = mirrors.get(state.getKind());
-      if (mirror == null) {
+      MirroredKind kind = kinds.get(state.getKind());
+      if (kind == null) {
         continue;
       }
-      if (state.getChangedAt() <= mirror.lastChangeRevision()) {
-        if (state.hasAgeInMilliseconds()) {
-          freshnessByKind.get(state.getKind()).onPeerAge(state.getAgeInMilliseconds(), now);
-        }
-        continue;
-      }
-      Long lastPull = lastPullAt.get(state.getKind());
-      if (lastPull == null || now - lastPull >= PULL_INTERVAL_IN_MILLISECONDS) {
-        lastPullAt.put(state.getKind(), now);
-        links.pullMirror(
-            vm,
-            MirrorPull.newBuilder()
-                .setKind(state.getKind())
-                .setCompleteTo(mirror.completeTo())
-                .build());
+      if (state.getChangedAt() > kind.mirror().lastChangeRevision()) {
+        pull(vm, state.getKind(), kind.mirror());
+      } else if (state.hasAgeInMilliseconds()) {
+        onPeerAge(kind, state.getAgeInMilliseconds());
       }
     }
   }
 
+  private void pull(String vm, String kind, KindMirror mirror) {
+    long now = clock.now();
+    Long lastPull = lastPullAt.get(kind);
+    if (lastPull == null || now - lastPull >= PULL_INTERVAL_IN_MILLISECONDS) {
+      lastPullAt.put(kind, now);
+      links.pullMirror(
+          vm, MirrorPull.newBuilder().setKind(kind).setCompleteTo(mirror.completeTo()).build());
+    }
+  }
+
+  /** Takes over the age of a peer whose changes this VM has. */
+  private void onPeerAge(MirroredKind kind, long ageInMilliseconds) {
+    if (kind.freshness().onPeerAge(ageInMilliseconds, clock.now())) {
+      listener.onMirrorsChanged();
+    }
+  }
+
   /** Returns what a peer lacks of the mirror of a kind. */
   MirrorPush contentFor(MirrorPull request) {
     MirrorPush.Builder content = MirrorPush.newBuilder().setKind(request.getKind());
-    KindMirror mirror = mirrors.get(request.getKind());
-    if (mirror == null) {
+    MirroredKind kind = kinds.get(request.getKind());
+    if (kind == null) {
       return content.build();
     }
-    KindMirror.Update update = mirror.updateFor(request.getCompleteTo());
+    ageInMilliseconds(request.getKind()).ifPresent(content::setAgeInMilliseconds);
+    KindMirror.Update update = kind.mirror().updateFor(request.getCompleteTo());
     content.setChangedAt(update.lastChange()).setCompleteTo(Math.max(0, update.completeTo()));
     update.since().ifPresent(content::setChangesSince);
     for (ObjectStore.Change change : update.changes()) {
@@ -248,10 +264,11 @@
 
   /** Takes over what a peer passed on of the mirror of a kind. */
   void onContent(String vm, MirrorPush content) {
-    KindMirror mirror = mirrors.get(content.getKind());
-    if (mirror == null) {
+    MirroredKind kind = kinds.get(content.getKind());
+    if (kind == null) {
       return;
     }
+    KindMirror mirror = kind.mirror();
     lastPullAt.remove(content.getKind());
     List<ObjectStore.Change> changes = new ArrayList<>();
     for (MirrorObject item : content.getObjectsList()) {
@@ -269,6 +286,9 @@
                 changes,
                 content.getCompleteTo(),
                 content.getChangedAt()));
+    if (content.hasAgeInMilliseconds() && content.getChangedAt() <= mirror.lastChangeRevision()) {
+      onPeerAge(kind, content.getAgeInMilliseconds());
+    }
     if (changed) {
       log.log(
           EventKind.DEPENDENCY,
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.toucanmast.core.mirror.ChangeLog;
+import org.toucanmast.core.mirror.PropagationTiming;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore;
@@ -51,6 +52,9 @@
     /** The store answered a call of the mirror, or did not. */
     void onStoreAvailability(boolean available);
 
+    /** The mirror contains every change that the store had acknowledged until now. */
+    void onCurrent();
+
     /** The mirror has changes that peers may lack. */
     void onMirrorChanged();
   }
@@ -71,7 +75,7 @@
   private final ObjectStore store;
   private final EventLog log;
   private final String kind;
-  private final long waitInMilliseconds;
+  private final PropagationTiming timing;
   private final Listener listener;
   private final StoreListener storeListener;
   private final Map<String, StoredObject> objects = new HashMap<>();
@@ -86,22 +90,21 @@
   /**
    * Creates an empty mirror that makes no calls until it is started.
    *
-   * @param waitInMilliseconds how long one watch waits; limits the time until a silent connection
-   *     is noticed
+   * @param timing how long one watch waits, and after what time a silent one has failed
    */
   public KindMirror(
       Vertx vertx,
       ObjectStore store,
       EventLog log,
       String kind,
-      long waitInMilliseconds,
+      PropagationTiming timing,
       Listener listener,
       StoreListener storeListener) {
     this.vertx = vertx;
     this.store = store;
     this.log = log;
     this.kind = kind;
-    this.waitInMilliseconds = waitInMilliseconds;
+    this.timing = timing;
     this.listener = listener;
     this.storeListener = storeListener;
   }
@@ -129,6 +132,11 @@
     }
   }
 
+  /** Returns whether the mirror watches the store itself. */
+  public boolean isWatching() {
+    return watching;
+  }
+
   /** Returns whether all objects have been received once, from the store or from a peer. */
   public boolean isLoaded() {
     return revision >= 0;
@@ -152,6 +160,9 @@
     long newest = listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
     long completeTo = consistency == Consistency.RELAXED ? newest : listing.revision();
     replaceAll(listing.objects(), completeTo);
+    if (consistency == Consistency.LINEARIZABLE) {
+      storeListener.onCurrent();
+    }
     listener.onAllObjects();
     storeListener.onMirrorChanged();
     continueWatching();
@@ -278,7 +289,8 @@
   private void watch() {
     callPending = true;
     store
-        .watch(kind, revision, waitInMilliseconds)
+        .watch(
+            kind, revision, timing.watchWaitInMilliseconds(), timing.watchTimeoutInMilliseconds())
         .onSuccess(this::onChanges)
         .onFailure(this::onWatchFailed);
   }
@@ -287,6 +299,7 @@
     callPending = false;
     onStoreAnswered();
     apply(changes.changes(), Math.max(revision, changes.revision()));
+    storeListener.onCurrent();
     if (changes.changes().isEmpty()) {
       continueWatching();
     } else {
--- a/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
@@ -72,7 +72,8 @@
   }
 
   @Override
-  public Future<Changes> watch(String kind, long afterRevision, long waitInMilliseconds) {
+  public Future<Changes> watch(
+      String kind, long afterRevision, long waitInMilliseconds, long timeoutInMilliseconds) {
     Promise<Changes> promise = Promise.promise();
     watches.add(promise);
     return promise.future();
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.toucanmast.core.mirror.PropagationTiming;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore.Change;
 import org.toucanmast.runtime.port.ObjectStore.Changes;
@@ -25,13 +26,14 @@
   private final InMemoryObjectStore store = new InMemoryObjectStore();
   private final List<String> notifications = new ArrayList<>();
   private final List<Boolean> availability = new ArrayList<>();
+  private int currentReports;
   private final KindMirror mirror =
       new KindMirror(
           vertx,
           store,
           new EventLog("vm", OutputStream.nullOutputStream()),
           "kind",
-          1_000,
+          PropagationTiming.within(3_000),
           new KindMirror.Listener() {
             @Override
             public void onObject(StoredObject object) {
@@ -49,6 +51,11 @@
               availability.add(available);
             }
 
+            @Override
+            public void onCurrent() {
+              currentReports++;
+            }
+
             @Override
             public void onMirrorChanged() {
               // The tests look at the mirror itself.
@@ -219,6 +226,15 @@
     assertThat(notifications).containsExactly("+a", "-a", "+b");
   }
 
+  @Test
+  void should_not_take_a_listing_that_may_be_old_for_current() {
+    mirror.start();
+    assertThat(currentReports).isZero();
+
+    store.lastWatch().complete(new Changes(List.of(), 70));
+    assertThat(currentReports).isEqualTo(1);
+  }
+
   @Test
   void should_report_when_the_store_stops_and_resumes_answering() {
     mirror.start();
