Count a leaving primary's grace period from the earliest possible acknowledgement of its leaving

A data centre that is taken out after the answers of all watches were lost is known to all VMs in time, and its primary still got writes up to 5.5 s after the acknowledgement (promised: 5 s).

The grace period of 4 s counted from the moment at which a VM learned of the change, the promise counts from the acknowledgement; the two waits add up when the news is late. A VM that had just started gave a primary whose data centre is taken out the whole period again.

Change: a mirror knows how long ago a change may have been acknowledged at most: just now, if a watch waited for it; since the last answer, if the watch before it failed or the answer came at once; as long ago as the peer says that passed it on. The grace period counts from there. It is four fifths of the shorter promise of the settings (4 s as before where they are 5 and 7 s), no constant.

--- a/core/src/main/java/org/toucanmast/core/mirror/ChangePromises.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/ChangePromises.java
@@ -38,6 +38,21 @@
     }
   }
 
+  /**
+   * The part of a promise after which a leaving primary gets no more statements, of these parts.
+   */
+  private static final long GRACE_PARTS = 4;
+
+  private static final long ALL_PARTS = 5;
+
+  /**
+   * Returns how long a primary that is draining, or whose data centre is taken out, may still get
+   * statements after that was acknowledged, until another endpoint is the primary.
+   */
+  public long leavingPrimaryGraceInMilliseconds() {
+    return Math.min(takenOutInMilliseconds, drainingInMilliseconds) * GRACE_PARTS / ALL_PARTS;
+  }
+
   /** Returns how the configuration is propagated. */
   public PropagationTiming configurationTiming() {
     return timing(configurationInMilliseconds);
--- a/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
@@ -70,6 +70,14 @@
     return answeredAt == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(now - answeredAt);
   }
 
+  /**
+   * Returns the earliest time at which a change can have been made that the store's next answer
+   * shows first, in milliseconds; empty if the store has answered nobody.
+   */
+  public OptionalLong answeredAt() {
+    return answeredAt == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(answeredAt);
+  }
+
   /**
    * Returns whether this VM must ask the store itself.
    *
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.failover.PrimaryFailureDetector;
 import org.toucanmast.core.freshness.PositionHistory;
@@ -45,18 +46,6 @@
   /** Backoff after the endpoint turned out to be another one than its entry names. */
   private static final long WRONG_ENDPOINT_BACKOFF_IN_MILLISECONDS = 1_000;
 
-  /**
-   * How long a leaving primary still gets statements until another endpoint becomes primary.
-   * Shorter than the times after which the platform's users expect no more work there.
-   */
-  private static final long LEAVING_PRIMARY_GRACE_IN_MILLISECONDS = 4_000;
-
-  /**
-   * How long an endpoint that is draining when it is first seen is assumed to have been draining
-   * already.
-   */
-  private static final long DRAINING_BEFORE_FIRST_SEEN_IN_MILLISECONDS = 1_500;
-
   private final NetClient client;
   private final EndpointDialect dialect;
   private final VmClock clock;
@@ -68,6 +57,7 @@
   private final ReplicaLagEstimate lag = new ReplicaLagEstimate();
   private final PrimaryFailureDetector suspicion = new PrimaryFailureDetector();
   private final ConnectionBudget budget;
+  private final long leavingPrimaryGraceInMilliseconds;
   private EndpointEntry entry;
   private boolean takenOut;
   private boolean primary;
@@ -76,6 +66,13 @@
   private long avoidedUntil = Long.MIN_VALUE;
   private long backoffMilliseconds = INITIAL_BACKOFF_IN_MILLISECONDS;
 
+  /**
+   * Creates a pool without connections.
+   *
+   * @param changedSince the earliest time at which the entry may have been changed
+   * @param leavingPrimaryGraceInMilliseconds how long a leaving primary still gets statements until
+   *     another endpoint becomes primary, from the earliest time at which it may have been leaving
+   */
   EndpointPool(
       NetClient client,
       EndpointDialect dialect,
@@ -83,6 +80,8 @@
       EventLog log,
       PositionHistory history,
       EndpointEntry entry,
+      long changedSince,
+      long leavingPrimaryGraceInMilliseconds,
       int maximumConnections) {
     this.history = history;
     this.client = client;
@@ -91,20 +90,20 @@
     this.log = log;
     this.entry = entry;
     this.budget = new ConnectionBudget(maximumConnections);
-    this.leavingSince =
-        entry.draining()
-            ? clock.now() - DRAINING_BEFORE_FIRST_SEEN_IN_MILLISECONDS
-            : Long.MAX_VALUE;
+    this.leavingPrimaryGraceInMilliseconds = leavingPrimaryGraceInMilliseconds;
+    this.leavingSince = entry.draining() ? changedSince : Long.MAX_VALUE;
   }
 
   /**
    * Applies a newer entry of the same endpoint. If it describes another run of the endpoint, the
    * connections to the earlier run are closed.
+   *
+   * @param changedSince the earliest time at which the entry may have been changed
    */
-  void update(EndpointEntry newer) {
+  void update(EndpointEntry newer, long changedSince) {
     boolean sameRun = entry.isSameRun(newer);
     entry = newer;
-    updateLeavingSince();
+    updateLeavingSince(changedSince);
     if (!sameRun) {
       List.copyOf(connections).forEach(EndpointConnection::close);
       lag.reset();
@@ -117,13 +116,14 @@
     primary = newPrimary;
   }
 
-  void setTakenOut(boolean newTakenOut) {
-    takenOut = newTakenOut;
-    updateLeavingSince();
+  /** Sets since when the endpoint's data centre may have been taken out; empty if it is not. */
+  void setTakenOut(OptionalLong since) {
+    takenOut = since.isPresent();
+    updateLeavingSince(since.orElse(leavingSince));
   }
 
-  private void updateLeavingSince() {
-    leavingSince = acceptsWork() ? Long.MAX_VALUE : Math.min(leavingSince, clock.now());
+  private void updateLeavingSince(long changedSince) {
+    leavingSince = acceptsWork() ? Long.MAX_VALUE : Math.min(leavingSince, changedSince);
   }
 
   /**
@@ -131,7 +131,7 @@
    * endpoint is the primary.
    */
   boolean acceptsPrimaryWork(long now) {
-    return acceptsWork() || now - leavingSince < LEAVING_PRIMARY_GRACE_IN_MILLISECONDS;
+    return acceptsWork() || now - leavingSince < leavingPrimaryGraceInMilliseconds;
   }
 
   void setMaximumConnections(int maximumConnections) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -2,12 +2,14 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.GroupLimits;
+import org.toucanmast.core.mirror.ChangePromises;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.EndpointDialect;
@@ -34,7 +36,8 @@
   private BooleanSupplier isolated = () -> false;
   private Catalog catalog = Catalog.EMPTY;
   private Optional<String> probeCustomer = Optional.empty();
-  private Set<String> takenOutDataCentres = Set.of();
+  private Map<String, Long> takenOutSince = Map.of();
+  private ChangePromises promises = ChangePromises.DEFAULT;
   private long lastTransactionHandle;
 
   /**
@@ -95,9 +98,17 @@
             .min(String::compareTo);
   }
 
-  /** Sets the data centres that are taken out and get no new work. */
-  public void setTakenOut(Set<String> dataCentres) {
-    takenOutDataCentres = Set.copyOf(dataCentres);
+  /**
+   * Sets the data centres that are taken out and get no new work, with the earliest times from
+   * which they may have been.
+   */
+  public void setTakenOut(Map<String, Long> sinceByDataCentre) {
+    takenOutSince = Map.copyOf(sinceByDataCentre);
+  }
+
+  /** Sets how soon acknowledged changes must have taken effect. */
+  public void setPromises(ChangePromises newPromises) {
+    promises = newPromises;
   }
 
   /** Returns the event loop on which all gateways run. */
@@ -130,8 +141,15 @@
     return promotions;
   }
 
-  boolean isTakenOut(String dataCentre) {
-    return takenOutDataCentres.contains(dataCentre);
+  /** Returns since when a data centre may have been taken out; empty if it is not. */
+  OptionalLong takenOutSince(String dataCentre) {
+    Long since = takenOutSince.get(dataCentre);
+    return since == null ? OptionalLong.empty() : OptionalLong.of(since);
+  }
+
+  /** Returns how long a leaving primary may still get statements, in milliseconds. */
+  long leavingPrimaryGraceInMilliseconds() {
+    return promises.leavingPrimaryGraceInMilliseconds();
   }
 
   int maximumConnections(String group) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -88,8 +88,12 @@
             this::dispatch);
   }
 
-  /** Adds an endpoint, or applies a newer entry of a known one. */
-  public void onEndpointUpdated(EndpointEntry entry) {
+  /**
+   * Adds an endpoint, or applies a newer entry of a known one.
+   *
+   * @param changedSince the earliest time at which the entry may have been changed
+   */
+  public void onEndpointUpdated(EndpointEntry entry, long changedSince) {
     EndpointPool pool = pools.get(entry.id());
     if (pool == null) {
       pool =
@@ -100,12 +104,14 @@
               context.log(),
               history,
               entry,
+              changedSince,
+              context.leavingPrimaryGraceInMilliseconds(),
               context.maximumConnections(group));
       pools.put(entry.id(), pool);
     } else {
-      pool.update(entry);
+      pool.update(entry, changedSince);
     }
-    pool.setTakenOut(context.isTakenOut(entry.dataCentre()));
+    pool.setTakenOut(context.takenOutSince(entry.dataCentre()));
     primaryMonitor.onEndpointUpdated(entry);
     dispatch();
   }
@@ -127,7 +133,7 @@
   public void onConfigurationChanged() {
     for (EndpointPool pool : pools.values()) {
       pool.setMaximumConnections(context.maximumConnections(group));
-      pool.setTakenOut(context.isTakenOut(pool.entry().dataCentre()));
+      pool.setTakenOut(context.takenOutSince(pool.entry().dataCentre()));
     }
     dispatch();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -67,7 +67,7 @@
   }
 
   @Override
-  public void onObject(StoredObject object) {
+  public void onObject(StoredObject object, long changedSince) {
     revisions.put(object.name(), object.revision());
     Optional<FleetMember> member = FleetMember.of(object.name(), object.content());
     if (object.name().equals(self.name())) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
@@ -1,10 +1,9 @@
 package org.toucanmast.runtime.session;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.EndpointEntry;
@@ -32,7 +31,7 @@
   private final GatewayRouter router;
   private final Map<String, GroupGateway> gateways = new HashMap<>();
   private final Map<String, EndpointEntry> entries = new HashMap<>();
-  private final Set<String> takenOut = new HashSet<>();
+  private final Map<String, Long> takenOut = new TreeMap<>();
   private long sweepTimer;
   private boolean frequentSweeps;
 
@@ -61,8 +60,8 @@
   KindMirror.Listener endpointListener() {
     return new KindMirror.Listener() {
       @Override
-      public void onObject(StoredObject object) {
-        onEndpoint(object);
+      public void onObject(StoredObject object, long changedSince) {
+        onEndpoint(object, changedSince);
       }
 
       @Override
@@ -72,7 +71,7 @@
     };
   }
 
-  private void onEndpoint(StoredObject object) {
+  private void onEndpoint(StoredObject object, long changedSince) {
     Optional<EndpointEntry> entry = model.endpoint(object.name(), object.content());
     if (entry.isEmpty()) {
       log.log(EventKind.ENDPOINT, "endpoint entry not usable", "endpoint", object.name());
@@ -85,7 +84,7 @@
     }
     log.log(EventKind.ENDPOINT, "entry", "endpoint", object.name(), "entry", entry.get());
     router.onEndpoint(entry.get().group(), entry.get().dataCentre());
-    gateway(entry.get().group()).onEndpointUpdated(entry.get());
+    gateway(entry.get().group()).onEndpointUpdated(entry.get(), changedSince);
   }
 
   private void removeEndpoint(String name) {
@@ -100,8 +99,8 @@
   KindMirror.Listener dataCentreListener() {
     return new KindMirror.Listener() {
       @Override
-      public void onObject(StoredObject object) {
-        takenOut.add(object.name());
+      public void onObject(StoredObject object, long changedSince) {
+        takenOut.merge(object.name(), changedSince, Math::min);
         onTakenOutChanged();
       }
 
@@ -114,7 +113,7 @@
   }
 
   private void onTakenOutChanged() {
-    log.log(EventKind.CONFIGURATION, "data centres taken out", "data_centres", takenOut);
+    log.log(EventKind.CONFIGURATION, "data centres taken out", "data_centres", takenOut.keySet());
     context.setTakenOut(takenOut);
     gateways.values().forEach(GroupGateway::onConfigurationChanged);
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -150,6 +150,7 @@
     this.mirrors =
         new StoreMirrors(
             vertx, ports.store(), clock, log, links, settings.name(), mirrorsListener());
+    context.setPromises(settings.promises());
     sessions.setMirrorAges(mirrors::describeAges);
     context.setIsolated(membership::isIsolated);
     clock.addDisagreementListener(this::onClockDisagreement);
@@ -193,7 +194,7 @@
   private KindMirror.Listener configurationListener() {
     return new KindMirror.Listener() {
       @Override
-      public void onObject(StoredObject object) {
+      public void onObject(StoredObject object, long changedSince) {
         if (object.name().equals(model.configurationName())) {
           onConfiguration(object);
         }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -49,8 +49,7 @@
     void onStoreAccessChanged();
   }
 
-  private final Vertx vertx;
-  private final ObjectStore store;
+  private final KindMirror.Environment environment;
   private final VmClock clock;
   private final EventLog log;
   private final FleetLinks links;
@@ -73,8 +72,7 @@
       FleetLinks links,
       String vm,
       Listener listener) {
-    this.vertx = vertx;
-    this.store = store;
+    this.environment = new KindMirror.Environment(vertx, clock, store, log);
     this.clock = clock;
     this.log = log;
     this.links = links;
@@ -105,7 +103,7 @@
           }
         };
     KindMirror mirror =
-        new KindMirror(vertx, store, log, kind, timing, kindListener, storeListener);
+        new KindMirror(environment, kind, timing, freshness, kindListener, storeListener);
     kinds.put(kind, new MirroredKind(mirror, freshness));
   }
 
@@ -253,7 +251,8 @@
           MirrorObject.newBuilder()
               .setName(object.name())
               .setRevision(object.revision())
-              .setDeleted(change.deleted());
+              .setDeleted(change.deleted())
+              .setMaximumAgeInMilliseconds(update.maximumAges().getOrDefault(object.name(), 0L));
       if (object.content() != null && !change.deleted()) {
         item.setContent(object.content().encode());
       }
@@ -271,7 +270,9 @@
     KindMirror mirror = kind.mirror();
     lastPullAt.remove(content.getKind());
     List<ObjectStore.Change> changes = new ArrayList<>();
+    Map<String, Long> ages = new HashMap<>();
     for (MirrorObject item : content.getObjectsList()) {
+      ages.put(item.getName(), item.getMaximumAgeInMilliseconds());
       JsonObject value = item.getContent().isEmpty() ? null : new JsonObject(item.getContent());
       changes.add(
           new ObjectStore.Change(
@@ -285,7 +286,8 @@
                     : Optional.empty(),
                 changes,
                 content.getCompleteTo(),
-                content.getChangedAt()));
+                content.getChangedAt(),
+                ages));
     if (content.hasAgeInMilliseconds() && content.getChangedAt() <= mirror.lastChangeRevision()) {
       onPeerAge(kind, content.getAgeInMilliseconds());
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -9,8 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.toucanmast.core.mirror.ChangeLog;
+import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore;
@@ -35,10 +38,24 @@
   /** Delay before the next watch after a change, so that one watch fetches several changes. */
   private static final long BATCH_DELAY_IN_MILLISECONDS = 100;
 
+  /**
+   * A watch that is answered later than this after it was sent waited for its changes, which were
+   * made just before the answer; one that is answered sooner may bring older changes.
+   */
+  private static final long IMMEDIATE_ANSWER_IN_MILLISECONDS = 100;
+
+  /** How long ago the changes in the first listing are assumed to have been made. */
+  private static final long AGE_OF_FIRST_LISTING_IN_MILLISECONDS = 1_500;
+
   /** Receives the mirrored objects and their changes; all calls are made on the event loop. */
   public interface Listener {
-    /** An object was added or changed. */
-    void onObject(StoredObject object);
+    /**
+     * An object was added or changed.
+     *
+     * @param changedSince the earliest time at which the store may have acknowledged the change, on
+     *     this VM's clock in milliseconds; promises count from there
+     */
+    void onObject(StoredObject object, long changedSince);
 
     /** An object was removed. */
     void onObjectRemoved(String name);
@@ -67,21 +84,34 @@
    * @param completeTo the revision of the store up to which a receiver is complete with them; 0 if
    *     that is not known
    * @param lastChange the revision of the latest change
+   * @param maximumAges how long ago the store may have acknowledged the objects' changes, by the
+   *     name of the object, in milliseconds; an object that is not named was changed just now
    */
   public record Update(
-      Optional<Long> since, List<ObjectStore.Change> changes, long completeTo, long lastChange) {}
+      Optional<Long> since,
+      List<ObjectStore.Change> changes,
+      long completeTo,
+      long lastChange,
+      Map<String, Long> maximumAges) {}
+
+  /** What the mirrors of a VM share. */
+  public record Environment(Vertx vertx, VmClock clock, ObjectStore store, EventLog log) {}
 
   private final Vertx vertx;
+  private final VmClock clock;
   private final ObjectStore store;
   private final EventLog log;
   private final String kind;
+  private final MirrorFreshness freshness;
   private final PropagationTiming timing;
   private final Listener listener;
   private final StoreListener storeListener;
   private final Map<String, StoredObject> objects = new HashMap<>();
+  private final Map<String, Long> changedSince = new HashMap<>();
   private final ChangeLog<StoredObject> changeLog = new ChangeLog<>();
   private long revision = -1;
   private long lastChangeRevision = -1;
+  private long watchSentAt;
   private long retryDelayInMilliseconds = INITIAL_RETRY_DELAY_IN_MILLISECONDS;
   private boolean available;
   private boolean watching;
@@ -90,20 +120,22 @@
   /**
    * Creates an empty mirror that makes no calls until it is started.
    *
+   * @param freshness how old this VM's knowledge of the kind is; updated by peers as well
    * @param timing how long one watch waits, and after what time a silent one has failed
    */
   public KindMirror(
-      Vertx vertx,
-      ObjectStore store,
-      EventLog log,
+      Environment environment,
       String kind,
       PropagationTiming timing,
+      MirrorFreshness freshness,
       Listener listener,
       StoreListener storeListener) {
-    this.vertx = vertx;
-    this.store = store;
-    this.log = log;
+    this.vertx = environment.vertx();
+    this.clock = environment.clock();
+    this.store = environment.store();
+    this.log = environment.log();
     this.kind = kind;
+    this.freshness = freshness;
     this.timing = timing;
     this.listener = listener;
     this.storeListener = storeListener;
@@ -159,7 +191,8 @@
     onStoreAnswered();
     long newest = listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
     long completeTo = consistency == Consistency.RELAXED ? newest : listing.revision();
-    replaceAll(listing.objects(), completeTo);
+    long earliest = earliestChange();
+    replaceAll(listing.objects(), completeTo, name -> earliest);
     if (consistency == Consistency.LINEARIZABLE) {
       storeListener.onCurrent();
     }
@@ -168,22 +201,27 @@
     continueWatching();
   }
 
+  /** Returns the earliest time of a change that this VM does not know yet. */
+  private long earliestChange() {
+    return freshness.answeredAt().orElse(clock.now() - AGE_OF_FIRST_LISTING_IN_MILLISECONDS);
+  }
+
   private void continueWatching() {
     if (watching && !callPending) {
       watch();
     }
   }
 
-  private void replaceAll(Collection<StoredObject> current, long completeTo) {
+  private void replaceAll(
+      Collection<StoredObject> current, long completeTo, ToLongFunction<String> changeTime) {
     Set<String> removed = new HashSet<>(objects.keySet());
     for (StoredObject object : current) {
       removed.remove(object.name());
-      put(object);
+      put(object, changeTime.applyAsLong(object.name()));
     }
     for (String name : removed) {
       if (objects.get(name).revision() <= completeTo) {
-        objects.remove(name);
-        listener.onObjectRemoved(name);
+        remove(name);
       }
     }
     if (completeTo > revision) {
@@ -192,17 +230,25 @@
     }
   }
 
-  private void put(StoredObject object) {
+  private void remove(String name) {
+    objects.remove(name);
+    changedSince.remove(name);
+    listener.onObjectRemoved(name);
+  }
+
+  private void put(StoredObject object, long changeTime) {
     StoredObject known = objects.get(object.name());
     if (known == null || known.revision() < object.revision()) {
       objects.put(object.name(), object);
+      changedSince.put(object.name(), changeTime);
       lastChangeRevision = Math.max(lastChangeRevision, object.revision());
-      listener.onObject(object);
+      listener.onObject(object, changeTime);
     }
   }
 
   /** Applies changes that follow each other, and keeps them for peers that lack them. */
-  private void apply(List<ObjectStore.Change> changes, long completeTo) {
+  private void apply(
+      List<ObjectStore.Change> changes, long completeTo, ToLongFunction<String> changeTime) {
     for (ObjectStore.Change change : changes) {
       StoredObject object = change.object();
       StoredObject known = objects.get(object.name());
@@ -211,11 +257,10 @@
         lastChangeRevision =
             Math.max(lastChangeRevision, namesDeletion ? object.revision() : completeTo);
         if (known != null && known.revision() <= object.revision()) {
-          objects.remove(object.name());
-          listener.onObjectRemoved(object.name());
+          remove(object.name());
         }
       } else if (object.revision() > revision || known != null) {
-        put(object);
+        put(object, changeTime.applyAsLong(object.name()));
       }
       changeLog.add(completeTo, object, change.deleted());
     }
@@ -236,13 +281,22 @@
               .map(change -> new ObjectStore.Change(change.object(), change.deleted()))
               .toList(),
           revision,
-          lastChangeRevision);
+          lastChangeRevision,
+          maximumAges());
     }
     return new Update(
         Optional.empty(),
         objects.values().stream().map(object -> new ObjectStore.Change(object, false)).toList(),
         revision,
-        lastChangeRevision);
+        lastChangeRevision,
+        maximumAges());
+  }
+
+  private Map<String, Long> maximumAges() {
+    long now = clock.now();
+    Map<String, Long> ages = new HashMap<>();
+    changedSince.forEach((name, since) -> ages.put(name, now - since));
+    return ages;
   }
 
   /**
@@ -255,12 +309,14 @@
       return false;
     }
     long before = lastChangeRevision;
+    long now = clock.now();
+    ToLongFunction<String> changeTime = name -> now - update.maximumAges().getOrDefault(name, 0L);
     if (update.since().isEmpty()) {
       List<StoredObject> content = new ArrayList<>();
       update.changes().forEach(change -> content.add(change.object()));
-      replaceAll(content, update.completeTo());
+      replaceAll(content, update.completeTo(), changeTime);
     } else if (update.since().get() <= revision) {
-      apply(update.changes(), Math.max(revision, update.completeTo()));
+      apply(update.changes(), Math.max(revision, update.completeTo()), changeTime);
     } else {
       return false;
     }
@@ -288,6 +344,7 @@
 
   private void watch() {
     callPending = true;
+    watchSentAt = clock.now();
     store
         .watch(
             kind, revision, timing.watchWaitInMilliseconds(), timing.watchTimeoutInMilliseconds())
@@ -297,8 +354,11 @@
 
   private void onChanges(ObjectStore.Changes changes) {
     callPending = false;
+    long now = clock.now();
+    boolean waited = available && now - watchSentAt > IMMEDIATE_ANSWER_IN_MILLISECONDS;
+    long changeTime = waited ? now : earliestChange();
     onStoreAnswered();
-    apply(changes.changes(), Math.max(revision, changes.revision()));
+    apply(changes.changes(), Math.max(revision, changes.revision()), name -> changeTime);
     storeListener.onCurrent();
     if (changes.changes().isEmpty()) {
       continueWatching();
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/EndpointPoolTest.java
@@ -6,10 +6,12 @@
 import io.vertx.core.net.NetServer;
 import java.io.OutputStream;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.freshness.PositionHistory;
+import org.toucanmast.core.mirror.ChangePromises;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 
@@ -23,6 +25,10 @@
   private final Vertx vertx = Vertx.vertx();
 
   private EndpointPool pool(EndpointEntry entry) {
+    return pool(entry, now);
+  }
+
+  private EndpointPool pool(EndpointEntry entry, long changedSince) {
     EventLog log = new EventLog("vm", OutputStream.nullOutputStream());
     return new EndpointPool(
         vertx.createNetClient(),
@@ -31,6 +37,8 @@
         log,
         new PositionHistory(1_000),
         entry,
+        changedSince,
+        ChangePromises.DEFAULT.leavingPrimaryGraceInMilliseconds(),
         12);
   }
 
@@ -82,7 +90,7 @@
   @Test
   void should_accept_primary_work_at_a_draining_primary_only_during_the_grace_period() {
     EndpointPool pool = pool(entry(false));
-    pool.update(entry(true));
+    pool.update(entry(true), now);
 
     assertThat(pool.acceptsWork()).isFalse();
     assertThat(pool.acceptsPrimaryWork(now + 3_000)).isTrue();
@@ -90,8 +98,8 @@
   }
 
   @Test
-  void should_shorten_the_grace_period_of_a_primary_that_was_draining_when_first_seen() {
-    EndpointPool pool = pool(entry(true));
+  void should_count_the_grace_period_of_a_draining_primary_from_its_earliest_possible_change() {
+    EndpointPool pool = pool(entry(true), now - 1_500);
 
     assertThat(pool.acceptsPrimaryWork(now + 2_000)).isTrue();
     assertThat(pool.acceptsPrimaryWork(now + 3_000)).isFalse();
@@ -100,7 +108,7 @@
   @Test
   void should_accept_primary_work_at_a_primary_that_no_longer_drains() {
     EndpointPool pool = pool(entry(true));
-    pool.update(entry(false));
+    pool.update(entry(false), now);
 
     assertThat(pool.acceptsPrimaryWork(now + 60_000)).isTrue();
   }
@@ -108,9 +116,18 @@
   @Test
   void should_accept_primary_work_in_a_taken_out_data_centre_only_during_the_grace_period() {
     EndpointPool pool = pool(entry(false));
-    pool.setTakenOut(true);
+    pool.setTakenOut(OptionalLong.of(now));
 
     assertThat(pool.acceptsPrimaryWork(now + 1_000)).isTrue();
     assertThat(pool.acceptsPrimaryWork(now + 4_000)).isFalse();
   }
+
+  @Test
+  void should_accept_no_primary_work_in_a_data_centre_that_may_have_been_taken_out_long_ago() {
+    EndpointPool pool = pool(entry(false));
+    pool.setTakenOut(OptionalLong.of(now - 3_500));
+
+    assertThat(pool.acceptsPrimaryWork(now)).isTrue();
+    assertThat(pool.acceptsPrimaryWork(now + 500)).isFalse();
+  }
 }
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -7,13 +7,17 @@
 import io.vertx.core.json.JsonObject;
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore.Change;
 import org.toucanmast.runtime.port.ObjectStore.Changes;
@@ -22,21 +26,30 @@
 import org.toucanmast.runtime.port.StoredObject;
 
 class KindMirrorTest {
+  private static final PropagationTiming TIMING = PropagationTiming.within(3_000);
+
   private final Vertx vertx = Vertx.vertx();
   private final InMemoryObjectStore store = new InMemoryObjectStore();
   private final List<String> notifications = new ArrayList<>();
   private final List<Boolean> availability = new ArrayList<>();
+  private final Map<String, Long> changeTimes = new HashMap<>();
+  private final MirrorFreshness freshness = new MirrorFreshness("vm", TIMING, 0);
   private int currentReports;
+  private long now = 100_000;
   private final KindMirror mirror =
       new KindMirror(
-          vertx,
-          store,
-          new EventLog("vm", OutputStream.nullOutputStream()),
+          new KindMirror.Environment(
+              vertx,
+              new VmClock(() -> now, () -> now),
+              store,
+              new EventLog("vm", OutputStream.nullOutputStream())),
           "kind",
-          PropagationTiming.within(3_000),
+          TIMING,
+          freshness,
           new KindMirror.Listener() {
             @Override
-            public void onObject(StoredObject object) {
+            public void onObject(StoredObject object, long changedSince) {
+              changeTimes.put(object.name(), changedSince);
               notifications.add("+" + object.name());
             }
 
@@ -54,6 +67,7 @@
             @Override
             public void onCurrent() {
               currentReports++;
+              freshness.onStoreAnswered(now);
             }
 
             @Override
@@ -74,7 +88,7 @@
   private static KindMirror.Update update(
       Optional<Long> since, long completeTo, StoredObject... objects) {
     List<Change> changes = Stream.of(objects).map(object -> new Change(object, false)).toList();
-    return new KindMirror.Update(since, changes, completeTo, completeTo);
+    return new KindMirror.Update(since, changes, completeTo, completeTo, Map.of());
   }
 
   private static StoredObject object(String name, long revision) {
@@ -132,7 +146,7 @@
   void should_keep_objects_that_are_newer_than_what_a_peer_has_seen() {
     mirror.start();
     store.lastWatch().complete(new Changes(List.of(new Change(object("a", 90), false)), 90));
-    mirror.onUpdate(new KindMirror.Update(Optional.empty(), List.of(), 80, 95));
+    mirror.onUpdate(new KindMirror.Update(Optional.empty(), List.of(), 80, 95, Map.of()));
 
     assertThat(notifications).containsExactly("+a");
   }
@@ -221,7 +235,8 @@
             Optional.of(40L),
             List.of(written, deleted, new Change(object("b", 61), false)),
             61,
-            61));
+            61,
+            Map.of()));
 
     assertThat(notifications).containsExactly("+a", "-a", "+b");
   }
@@ -235,6 +250,45 @@
     assertThat(currentReports).isEqualTo(1);
   }
 
+  @Test
+  void should_take_a_change_for_new_when_the_watch_waited_for_it() {
+    mirror.start();
+    now += 1_500;
+    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 50), false)), 50));
+
+    assertThat(changeTimes).containsEntry("a", now);
+  }
+
+  @Test
+  void should_take_a_change_for_as_old_as_the_last_answer_after_a_watch_that_failed() {
+    mirror.start();
+    long lastAnswerAt = now;
+    store.lastWatch().complete(new Changes(List.of(), 40));
+    now += 2_500;
+    store.lastWatch().fail(new StoreException(Reason.UNKNOWN, "no answer"));
+    await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(3));
+    now += 150;
+    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 50), false)), 50));
+
+    assertThat(changeTimes).containsEntry("a", lastAnswerAt);
+  }
+
+  @Test
+  void should_take_a_change_from_a_peer_for_as_old_as_the_peer_does() {
+    mirror.start();
+    mirror.onUpdate(
+        new KindMirror.Update(
+            Optional.empty(),
+            List.of(new Change(object("a", 60), false)),
+            60,
+            60,
+            Map.of("a", 2_000L)));
+
+    assertThat(changeTimes).containsEntry("a", now - 2_000);
+    now += 300;
+    assertThat(mirror.updateFor(0).maximumAges()).containsEntry("a", 2_300L);
+  }
+
   @Test
   void should_report_when_the_store_stops_and_resumes_answering() {
     mirror.start();
