Refuse settings whose watch is noticed as silent only after the keys are outdated (HTTP interface)

Its defaults (1 s of wait, 1 s of timeout, 3 s of key freshness) keep the order; a watch-wait of 60 s was accepted beside a key-freshness-limit of 3 s, and a lost answer would then have gone unnoticed for a minute. The file is now refused with the limit and the value. The test was red before (no exception).

--- a/runtime/src/main/java/org/toucanmast/runtime/ini/SettingsFile.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/SettingsFile.java
@@ -4,8 +4,10 @@
 import com.google.protobuf.Message;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.core.text.SectionReader;
+import org.toucanmast.schema.PlatformSettings;
 import org.toucanmast.schema.Settings;
 
 /**
@@ -37,9 +39,29 @@
       settings.setField(section, reader.read(section.getName(), values, schema));
     }
     reader.throwIfInvalid();
+    checkWatchWait(settings.getPlatform(), reader);
+    reader.throwIfInvalid();
     return settings.build();
   }
 
+  /**
+   * A watch that the platform leaves without an answer fails after its wait and a call's timeout;
+   * keys must not be outdated by then.
+   */
+  private static void checkWatchWait(PlatformSettings platform, SectionReader reader) {
+    long limit = platform.getKeyFreshnessLimit() - platform.getCallTimeout();
+    if (platform.getWatchWait() >= limit) {
+      reader.report(
+          "platform",
+          "watch-wait",
+          "expected less than "
+              + TimeUnit.NANOSECONDS.toMillis(limit)
+              + " ms (key-freshness-limit less call-timeout) but was "
+              + TimeUnit.NANOSECONDS.toMillis(platform.getWatchWait())
+              + " ms");
+    }
+  }
+
   private static String knownSections() {
     return SectionReader.keysOf(Settings.getDescriptor()).toString();
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/ini/SettingsFileTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/ini/SettingsFileTest.java
@@ -69,6 +69,16 @@
         .hasMessageContaining("[callers] address: expected an IP address and a port");
   }
 
+  @Test
+  void should_reject_a_watch_whose_silence_is_noticed_after_the_keys_are_outdated() {
+    String slowWatch = "address = 127.0.0.1:9000\nwatch-wait = 30s";
+
+    assertThatThrownBy(() -> read(validSettings.replace("address = 127.0.0.1:9000", slowWatch)))
+        .isInstanceOf(InvalidTextException.class)
+        .hasMessageContaining("[platform] watch-wait: expected less than 2000 ms")
+        .hasMessageContaining("30000 ms");
+  }
+
   @Test
   void should_reject_unknown_and_repeated_sections_and_keys() {
     assertThatThrownBy(() -> read(validSettings + "[extra]\na = b\n"))
