Say more plainly how long a leaving primary gets statements, and what the age of a mirror is

From reading the diff: two constants for one fraction became one, in the place where the others stand; two doc comments were hard to follow.

--- a/core/src/main/java/org/toucanmast/core/mirror/ChangePromises.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/ChangePromises.java
@@ -19,6 +19,9 @@
   /** The promises where the platform states none. */
   public static final ChangePromises DEFAULT = new ChangePromises(3_000, 5_000, 7_000, 4_000);
 
+  /** The part of the shorter promise for which a leaving primary still gets statements. */
+  private static final double GRACE_PERIOD_FRACTION = 0.8;
+
   /**
    * Checks the times.
    *
@@ -38,19 +41,13 @@
     }
   }
 
-  /**
-   * The part of a promise after which a leaving primary gets no more statements, of these parts.
-   */
-  private static final long GRACE_PARTS = 4;
-
-  private static final long ALL_PARTS = 5;
-
   /**
    * Returns how long a primary that is draining, or whose data centre is taken out, may still get
    * statements after that was acknowledged, until another endpoint is the primary.
    */
   public long leavingPrimaryGraceInMilliseconds() {
-    return Math.min(takenOutInMilliseconds, drainingInMilliseconds) * GRACE_PARTS / ALL_PARTS;
+    long shorterPromise = Math.min(takenOutInMilliseconds, drainingInMilliseconds);
+    return Math.round(shorterPromise * GRACE_PERIOD_FRACTION);
   }
 
   /** Returns how the configuration is propagated. */
--- a/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirrorFreshness.java
@@ -71,8 +71,8 @@
   }
 
   /**
-   * Returns the earliest time at which a change can have been made that the store's next answer
-   * shows first, in milliseconds; empty if the store has answered nobody.
+   * Returns when the store gave the answer from which this VM knows the objects, in milliseconds;
+   * changes that it does not know yet were made later. Empty if the store has answered nobody.
    */
   public OptionalLong answeredAt() {
     return answeredAt == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(answeredAt);
--- a/core/src/main/java/org/toucanmast/core/mirror/PropagationTiming.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/PropagationTiming.java
@@ -37,7 +37,7 @@
   /** Shorter waits would be polling. */
   private static final long MINIMUM_WATCH_WAIT_IN_MILLISECONDS = 250;
 
-  /** Parts of the limit that the spread and the dissemination take; they grow with the fleet. */
+  /** The spread and the dissemination each take a tenth of the limit. */
   private static final long PARTS = 10;
 
   /**
--- a/core/src/test/java/org/toucanmast/core/mirror/PropagationTimingTest.java
+++ b/core/src/test/java/org/toucanmast/core/mirror/PropagationTimingTest.java
@@ -59,6 +59,13 @@
     assertThat(promises.drainingTiming()).isEqualTo(PropagationTiming.within(4_000));
   }
 
+  @Test
+  void should_end_the_grace_period_of_a_leaving_primary_before_the_shorter_promise() {
+    assertThat(ChangePromises.DEFAULT.leavingPrimaryGraceInMilliseconds()).isEqualTo(4_000);
+    assertThat(new ChangePromises(3_000, 9_000, 2_000, 4_000).leavingPrimaryGraceInMilliseconds())
+        .isLessThan(2_000);
+  }
+
   @Test
   void should_name_the_promise_that_is_not_positive() {
     assertThatThrownBy(() -> new ChangePromises(3_000, 0, 7_000, 4_000))
