--- a/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
@@ -16,6 +16,7 @@
 public final class InMemoryObjectStore implements ObjectStore {
   private final Map<String, StoredObject> objects = new LinkedHashMap<>();
   private final List<Promise<Changes>> watches = new ArrayList<>();
+  private final List<String> watchedKinds = new ArrayList<>();
   private long revision = 10;
   private Reason failure;
   private int listCalls;
@@ -48,6 +49,16 @@
     return watches.get(watches.size() - 1);
   }
 
+  /** Returns the kinds of all watches, the oldest first. */
+  public List<String> watchedKinds() {
+    return List.copyOf(watchedKinds);
+  }
+
+  /** Returns the promise of the newest watch of a kind. */
+  public Promise<Changes> lastWatchOf(String kind) {
+    return watches.get(watchedKinds.lastIndexOf(kind));
+  }
+
   private <T> Future<T> answer(T value) {
     return failure == null
         ? Future.succeededFuture(value)
@@ -76,6 +87,7 @@
       String kind, long afterRevision, long waitInMilliseconds, long timeoutInMilliseconds) {
     Promise<Changes> promise = Promise.promise();
     watches.add(promise);
+    watchedKinds.add(kind);
     return promise.future();
   }
 
