--- a/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
@@ -3,18 +3,19 @@
 import io.vertx.core.Future;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
+import org.toucanmast.core.mirror.StorePosition;
 
 /** Store of objects by kind and name, with revisions, conditional updates and watches. */
 public interface ObjectStore {
 
-  /** All objects of a kind, as of a revision of the store. */
-  record Listing(List<StoredObject> objects, long revision) {}
+  /** All objects of a kind, as of a position of the store. */
+  record Listing(List<StoredObject> objects, StorePosition position) {}
 
   /** An object that was written or deleted. */
   record Change(StoredObject object, boolean deleted) {}
 
-  /** The changes up to a revision of the store; empty if the wait ended without a change. */
-  record Changes(List<Change> changes, long revision) {}
+  /** The changes up to a position of the store; empty if the wait ended without a change. */
+  record Changes(List<Change> changes, StorePosition position) {}
 
   /** How recent the objects of a listing are. */
   enum Consistency {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.mirror.WatchRole;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -284,7 +285,8 @@
       JsonObject value = item.getContent().isEmpty() ? null : new JsonObject(item.getContent());
       changes.add(
           new ObjectStore.Change(
-              new StoredObject(item.getName(), item.getRevision(), value), item.getDeleted()));
+              new StoredObject(item.getName(), new StorePosition(0, item.getRevision()), value),
+              item.getDeleted()));
     }
     boolean changed =
         mirror.onUpdate(
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -13,6 +13,7 @@
 import org.toucanmast.core.mirror.ChangeLog;
 import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.mirror.WatchRole;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -106,6 +107,7 @@
   private final ChangeLog<StoredObject> changeLog = new ChangeLog<>();
   private long revision = -1;
   private long lastChangeRevision = -1;
+  private long era;
   private long watchSentAt;
   private Optional<Runnable> pendingRetry = Optional.empty();
   private long retryTimer;
@@ -196,7 +198,19 @@
     callPending = false;
     onStoreAnswered();
     long newest = listing.objects().stream().mapToLong(StoredObject::revision).max().orElse(0);
-    long completeTo = consistency == Consistency.RELAXED ? newest : listing.revision();
+    long completeTo = consistency == Consistency.RELAXED ? newest : listing.position().revision();
+    log.log(
+        EventKind.DEPENDENCY,
+        "objects listed",
+        "objects",
+        kind,
+        "era",
+        listing.position().era(),
+        "listed_revision",
+        listing.position().revision(),
+        "revision",
+        revision);
+    logEra(listing.position());
     long earliest = earliestChange();
     replaceAll(listing.objects(), completeTo, name -> earliest);
     if (consistency == Consistency.LINEARIZABLE) {
@@ -364,7 +378,8 @@
     boolean waited = available && now - watchSentAt > IMMEDIATE_ANSWER_IN_MILLISECONDS;
     long changeTime = waited ? now : earliestChange();
     onStoreAnswered();
-    apply(changes.changes(), Math.max(revision, changes.revision()), name -> changeTime);
+    logEra(changes.position());
+    apply(changes.changes(), Math.max(revision, changes.position().revision()), name -> changeTime);
     storeListener.onCurrent();
     if (changes.changes().isEmpty()) {
       continueWatching();
@@ -380,6 +395,25 @@
     }
   }
 
+  private void logEra(StorePosition answered) {
+    if (answered.era() != era && isLoaded()) {
+      log.log(
+          EventKind.DEPENDENCY,
+          "store answered in another era",
+          "objects",
+          kind,
+          "era",
+          answered.era(),
+          "store_revision",
+          answered.revision(),
+          "era_before",
+          era,
+          "revision",
+          revision);
+    }
+    era = answered.era();
+  }
+
   private void onWatchFailed(Throwable error) {
     boolean isHistoryGone =
         error instanceof StoreException failure
--- a/runtime/src/test/java/org/toucanmast/runtime/session/StoreMirrorsTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/session/StoreMirrorsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.runtime.port.ObjectStore.Changes;
@@ -115,7 +116,7 @@
     now += 1_000;
     mirrors.updateWatching();
     store.lastWatchOf(ENDPOINTS).fail(new StoreException(StoreException.Reason.REFUSED, "503"));
-    store.lastWatchOf(CONFIGURATION).complete(new Changes(List.of(), 20));
+    store.lastWatchOf(CONFIGURATION).complete(new Changes(List.of(), new StorePosition(0, 20)));
 
     assertThat(mirrors.isStoreRefused()).isTrue();
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.port.ObjectStore;
 import org.toucanmast.runtime.port.StoreException;
 import org.toucanmast.runtime.port.StoreException.Reason;
@@ -29,7 +30,7 @@
   /** Writes an object on behalf of another client of the store. */
   public StoredObject put(String kind, String name, JsonObject content) {
     revision++;
-    StoredObject object = new StoredObject(name, revision, content);
+    StoredObject object = new StoredObject(name, new StorePosition(0, revision), content);
     objects.put(kind + "/" + name, object);
     return object;
   }
@@ -79,7 +80,7 @@
             found.add(object);
           }
         });
-    return answer(new Listing(found, revision));
+    return answer(new Listing(found, new StorePosition(0, revision)));
   }
 
   @Override
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.mirror.WatchRole;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
@@ -93,7 +94,11 @@
   }
 
   private static StoredObject object(String name, long revision) {
-    return new StoredObject(name, revision, new JsonObject());
+    return new StoredObject(name, new StorePosition(0, revision), new JsonObject());
+  }
+
+  private static Changes changes(List<Change> changes, long revision) {
+    return new Changes(changes, new StorePosition(0, revision));
   }
 
   @AfterEach
@@ -105,8 +110,8 @@
   void should_list_once_then_watch_for_changes() {
     store.put("kind", "a", new JsonObject());
     mirror.start();
-    StoredObject changed = new StoredObject("b", 50, new JsonObject());
-    store.lastWatch().complete(new Changes(List.of(new Change(changed, false)), 50));
+    StoredObject changed = object("b", 50);
+    store.lastWatch().complete(changes(List.of(new Change(changed, false)), 50));
 
     assertThat(notifications).containsExactly("+a", "+b");
     assertThat(store.listCalls()).isEqualTo(1);
@@ -157,7 +162,7 @@
   @Test
   void should_keep_objects_that_are_newer_than_what_a_peer_has_seen() {
     mirror.start();
-    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 90), false)), 90));
+    store.lastWatch().complete(changes(List.of(new Change(object("a", 90), false)), 90));
     mirror.onUpdate(new KindMirror.Update(Optional.empty(), List.of(), 80, 95, Map.of()));
 
     assertThat(notifications).containsExactly("+a");
@@ -175,8 +180,8 @@
   @Test
   void should_have_the_same_last_change_revision_as_a_mirror_that_listed_later() {
     mirror.start();
-    StoredObject changed = new StoredObject("a", 50, new JsonObject());
-    store.lastWatch().complete(new Changes(List.of(new Change(changed, false)), 57));
+    StoredObject changed = object("a", 50);
+    store.lastWatch().complete(changes(List.of(new Change(changed, false)), 57));
 
     assertThat(mirror.lastChangeRevision()).isEqualTo(50);
   }
@@ -205,9 +210,9 @@
   @Test
   void should_pass_on_only_the_changes_that_a_peer_lacks() {
     mirror.start();
-    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 50), false)), 55));
+    store.lastWatch().complete(changes(List.of(new Change(object("a", 50), false)), 55));
     await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(2));
-    store.lastWatch().complete(new Changes(List.of(new Change(object("b", 60), false)), 60));
+    store.lastWatch().complete(changes(List.of(new Change(object("b", 60), false)), 60));
 
     KindMirror.Update update = mirror.updateFor(55);
 
@@ -241,7 +246,7 @@
     mirror.start();
     Change written = new Change(object("a", 50), false);
     Change deleted = new Change(object("a", 51), true);
-    store.lastWatch().complete(new Changes(List.of(written, deleted), 60));
+    store.lastWatch().complete(changes(List.of(written, deleted), 60));
     mirror.onUpdate(
         new KindMirror.Update(
             Optional.of(40L),
@@ -258,7 +263,7 @@
     mirror.start();
     assertThat(currentReports).isZero();
 
-    store.lastWatch().complete(new Changes(List.of(), 70));
+    store.lastWatch().complete(changes(List.of(), 70));
     assertThat(currentReports).isEqualTo(1);
   }
 
@@ -266,7 +271,7 @@
   void should_take_a_change_for_new_when_the_watch_waited_for_it() {
     mirror.start();
     now += 1_500;
-    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 50), false)), 50));
+    store.lastWatch().complete(changes(List.of(new Change(object("a", 50), false)), 50));
 
     assertThat(changeTimes).containsEntry("a", now);
   }
@@ -275,12 +280,12 @@
   void should_take_a_change_for_as_old_as_the_last_answer_after_a_watch_that_failed() {
     mirror.start();
     long lastAnswerAt = now;
-    store.lastWatch().complete(new Changes(List.of(), 40));
+    store.lastWatch().complete(changes(List.of(), 40));
     now += 2_500;
     store.lastWatch().fail(new StoreException(Reason.UNKNOWN, "no answer"));
     await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(3));
     now += 150;
-    store.lastWatch().complete(new Changes(List.of(new Change(object("a", 50), false)), 50));
+    store.lastWatch().complete(changes(List.of(new Change(object("a", 50), false)), 50));
 
     assertThat(changeTimes).containsEntry("a", lastAnswerAt);
   }
@@ -306,7 +311,7 @@
     mirror.start();
     store.lastWatch().fail(new StoreException(Reason.REFUSED, "503"));
     await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(2));
-    store.lastWatch().complete(new Changes(List.of(), 70));
+    store.lastWatch().complete(changes(List.of(), 70));
 
     assertThat(availability).containsSubsequence(true, false, true);
   }
