--- /dev/null
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
@@ -0,0 +1,303 @@
+package org.toucanmast.core.mirror;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
+
+/**
+ * The objects of one kind: as the store has them, and as this VM takes them to be.
+ *
+ * <p>The two differ for a while after the store was restored from a copy. An object that the copy
+ * lacks, or shows in an older state, is retained as it was known until its writer has written it
+ * again; one whose deletion the copy lacks stays deleted. {@link #endRetention()} ends this.
+ *
+ * <p>Within an era the higher revision of an object counts; revisions of different eras are never
+ * compared.
+ *
+ * @param <T> an object of the store
+ */
+public final class MirroredObjects<T extends MirroredObject> {
+  /** Number of deleted objects that are remembered in case that a copy contains them. */
+  private static final int DELETED_CAPACITY = 512;
+
+  /** Receives what this VM takes the objects to be. */
+  public interface Listener<T> {
+    /**
+     * An object was added or changed.
+     *
+     * @param changedSince the earliest time at which the store may have acknowledged the change, in
+     *     milliseconds
+     */
+    void onObject(T object, long changedSince);
+
+    /** An object was removed. */
+    void onObjectRemoved(String name);
+
+    /** The store lacks an object that is retained, or has an older state of it. */
+    default void onObjectOutdatedInStore(String name) {}
+  }
+
+  private record Known<T>(T object, long changedSince) {}
+
+  private final Function<T, Optional<ContentVersion>> contentVersion;
+  private final Listener<T> listener;
+  private final Map<String, T> stored = new HashMap<>();
+  private final Map<String, T> retained = new HashMap<>();
+  private final Map<String, Known<T>> known = new HashMap<>();
+  private final Map<String, T> deletedBeforeRestore = new HashMap<>();
+  private final Map<String, T> deleted =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
+          return size() > DELETED_CAPACITY;
+        }
+      };
+  private final ChangeLog<T> changeLog = new ChangeLog<>();
+  private StorePosition completeTo = StorePosition.NONE;
+  private long lastChange = StorePosition.NONE.revision();
+  private boolean retaining;
+
+  /**
+   * Creates an empty mirror.
+   *
+   * @param contentVersion the version in an object's content; empty if it has none
+   */
+  public MirroredObjects(
+      Function<T, Optional<ContentVersion>> contentVersion, Listener<T> listener) {
+    this.contentVersion = contentVersion;
+    this.listener = listener;
+  }
+
+  /** Returns whether all objects have been received once. */
+  public boolean isLoaded() {
+    return completeTo.revision() >= 0;
+  }
+
+  /** Returns the position up to which all changes are known. */
+  public StorePosition completeTo() {
+    return completeTo;
+  }
+
+  /**
+   * Returns the position of the last change of an object of this kind; the same on all VMs that
+   * have seen the same changes.
+   */
+  public StorePosition lastChange() {
+    return new StorePosition(completeTo.era(), lastChange);
+  }
+
+  /** Records that an object of this kind was changed up to a revision of the present era. */
+  public void advanceLastChange(long revision) {
+    lastChange = Math.max(lastChange, revision);
+  }
+
+  /** Returns the objects as this VM takes them to be. */
+  public Collection<T> objects() {
+    return known.values().stream().map(Known::object).toList();
+  }
+
+  /** Returns the objects as the store has them. */
+  public Collection<T> storedObjects() {
+    return List.copyOf(stored.values());
+  }
+
+  /** Returns the objects that the store lacks or has in an older state. */
+  public Collection<T> retainedObjects() {
+    return List.copyOf(retained.values());
+  }
+
+  /** Returns whether the store's state does not count yet where it is older. */
+  public boolean isRetaining() {
+    return retaining;
+  }
+
+  /** Returns the earliest possible times of the objects' last changes, by name. */
+  public Map<String, Long> changeTimes() {
+    Map<String, Long> times = new HashMap<>();
+    known.forEach((name, entry) -> times.put(name, entry.changedSince()));
+    return times;
+  }
+
+  /** Returns the changes after a position; empty if some of them are not kept. */
+  public Optional<List<ChangeLog.Change<T>>> changesSince(StorePosition position) {
+    return position.era() == completeTo.era()
+        ? changeLog.since(position.revision())
+        : Optional.empty();
+  }
+
+  /**
+   * Takes over all objects of the present era. Objects that were changed after the given position
+   * stay.
+   *
+   * @param position the position up to which the objects are complete
+   * @param changeTime the earliest time of an object's change, in milliseconds, by its name
+   */
+  public void replaceAll(
+      Collection<T> objects, StorePosition position, ToLongFunction<String> changeTime) {
+    Set<String> removed = new HashSet<>(stored.keySet());
+    for (T object : objects) {
+      removed.remove(object.name());
+      put(object, changeTime);
+    }
+    for (String name : removed) {
+      if (stored.get(name).revision() <= position.revision()) {
+        remove(name);
+      }
+    }
+    if (position.isAfter(completeTo)) {
+      completeTo = position;
+      changeLog.restart(position.revision());
+    }
+  }
+
+  /**
+   * Takes over all objects of a store that was restored, and retains what was known before.
+   *
+   * @param position the position up to which the objects are complete, in the new era
+   * @param changeTime the earliest time of an object's change, in milliseconds, by its name
+   */
+  public void restart(
+      Collection<T> objects, StorePosition position, ToLongFunction<String> changeTime) {
+    Set<String> names = new HashSet<>(known.keySet());
+    retained.clear();
+    known.forEach((name, entry) -> retained.put(name, entry.object()));
+    deletedBeforeRestore.putAll(deleted);
+    deleted.clear();
+    stored.clear();
+    changeLog.restart(position.revision());
+    completeTo = position;
+    lastChange = StorePosition.NONE.revision();
+    retaining = true;
+    for (T object : objects) {
+      names.add(object.name());
+      stored.put(object.name(), object);
+      advanceLastChange(object.revision());
+    }
+    names.forEach(name -> update(name, changeTime));
+    List.copyOf(retained.keySet()).forEach(listener::onObjectOutdatedInStore);
+  }
+
+  /**
+   * Takes over objects that a peer retains, also if this VM has started in the present era.
+   *
+   * @param changeTime the earliest time of an object's change, in milliseconds, by its name
+   */
+  public void retain(Collection<T> objects, ToLongFunction<String> changeTime) {
+    retaining = true;
+    for (T object : objects) {
+      T current = retained.get(object.name());
+      if (current == null || isNewerContent(object, current)) {
+        retained.put(object.name(), object);
+        update(object.name(), changeTime);
+      }
+    }
+  }
+
+  /** Lets the store's state count, also where it is older or lacks an object. */
+  public void endRetention() {
+    retaining = false;
+    Set<String> names = new HashSet<>(retained.keySet());
+    names.addAll(deletedBeforeRestore.keySet());
+    retained.clear();
+    deletedBeforeRestore.clear();
+    Map<String, Long> times = changeTimes();
+    names.forEach(name -> update(name, changed -> times.getOrDefault(changed, 0L)));
+  }
+
+  /**
+   * Applies a change of the present era, and keeps it for peers that lack it.
+   *
+   * @param object the object, as it was before if it was deleted
+   * @param position the position up to which all changes are known with this one and those that
+   *     were applied together with it
+   */
+  public void apply(
+      T object, boolean isDeleted, StorePosition position, ToLongFunction<String> changeTime) {
+    T current = stored.get(object.name());
+    if (isDeleted) {
+      boolean namesDeletion = current == null || object.revision() > current.revision();
+      advanceLastChange(namesDeletion ? object.revision() : position.revision());
+      if (current != null && current.revision() <= object.revision()) {
+        remove(object.name());
+      }
+    } else if (object.revision() > completeTo.revision() || current != null) {
+      put(object, changeTime);
+    }
+    changeLog.add(position.revision(), object, isDeleted);
+  }
+
+  /** Records that all changes up to a position of the present era have been applied. */
+  public void advance(StorePosition position) {
+    if (position.isAfter(completeTo)) {
+      completeTo = position;
+    }
+  }
+
+  private void put(T object, ToLongFunction<String> changeTime) {
+    T current = stored.get(object.name());
+    if (current == null || current.revision() < object.revision()) {
+      stored.put(object.name(), object);
+      deleted.remove(object.name());
+      advanceLastChange(object.revision());
+      update(object.name(), changeTime);
+    }
+  }
+
+  /** Removes an object; while objects are retained, it is kept as one that the store lacks. */
+  private void remove(String name) {
+    T removed = stored.remove(name);
+    if (retaining && known.containsKey(name)) {
+      retained.putIfAbsent(name, known.get(name).object());
+      listener.onObjectOutdatedInStore(name);
+    } else if (!retaining) {
+      deleted.put(name, removed);
+    }
+    update(name, ignored -> 0);
+  }
+
+  private void update(String name, ToLongFunction<String> changeTime) {
+    T current = stored.get(name);
+    T former = retained.get(name);
+    if (former != null && current != null && !isNewerContent(former, current)) {
+      retained.remove(name);
+      former = null;
+    }
+    T next = former == null && !isDeletedBeforeRestore(current) ? current : former;
+    Known<T> before = known.get(name);
+    if (next == null && before != null) {
+      known.remove(name);
+      listener.onObjectRemoved(name);
+    } else if (next != null && (before == null || before.object() != next)) {
+      boolean isSame = before != null && before.object().hasContentOf(next);
+      long changedSince = isSame ? before.changedSince() : changeTime.applyAsLong(name);
+      known.put(name, new Known<>(next, changedSince));
+      listener.onObject(next, changedSince);
+    }
+  }
+
+  private boolean isNewerContent(T object, T other) {
+    Optional<ContentVersion> version = contentVersion.apply(object);
+    Optional<ContentVersion> otherVersion = contentVersion.apply(other);
+    return version.isPresent()
+        && otherVersion.isPresent()
+        && version.get().compareTo(otherVersion.get()) > 0;
+  }
+
+  /** Returns whether the copy contains an object that was deleted later, exactly as it was. */
+  private boolean isDeletedBeforeRestore(T object) {
+    if (object == null) {
+      return false;
+    }
+    T before = deletedBeforeRestore.get(object.name());
+    return before != null && before.revision() == object.revision() && before.hasContentOf(object);
+  }
+}
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -61,10 +62,14 @@
   /**
    * A fencing token.
    *
-   * @param value the store's revision of the acquisition of the lock
+   * @param acquired the store's position of the acquisition of the lock; its revision is the token
    * @param usableFrom when the first order may be given, on the steady clock in milliseconds
    */
-  private record FencingToken(long value, long usableFrom) {}
+  private record FencingToken(StorePosition acquired, long usableFrom) {
+    long value() {
+      return acquired.revision();
+    }
+  }
 
   /** Creates a coordinator that holds no locks. */
   public PromotionCoordinator(
@@ -138,7 +143,7 @@
                 isMissing(error)
                     ? store
                         .create(KIND, group, content(false))
-                        .map(stored -> new FencingToken(stored.revision(), clock.now()))
+                        .map(stored -> new FencingToken(stored.position(), clock.now()))
                     : Future.failedFuture(error));
   }
 
@@ -148,8 +153,8 @@
     boolean hasOrdered = lockContent.getBoolean(ORDERED, true);
     long leaseWaitMilliseconds = alreadyHolder || !hasOrdered ? 0 : LEASE_IN_MILLISECONDS;
     return store
-        .replace(KIND, group, content(hasOrdered), current.revision())
-        .map(stored -> new FencingToken(stored.revision(), clock.now() + leaseWaitMilliseconds));
+        .replace(KIND, group, content(hasOrdered), current.position())
+        .map(stored -> new FencingToken(stored.position(), clock.now() + leaseWaitMilliseconds));
   }
 
   private static boolean isMissing(Throwable error) {
@@ -171,7 +176,7 @@
    */
   private void recordOrder(String group, FencingToken token, int attempt) {
     store
-        .replace(KIND, group, content(true), token.value())
+        .replace(KIND, group, content(true), token.acquired())
         .onFailure(
             error -> {
               boolean lockLost =
--- a/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/ObjectStore.java
@@ -45,14 +45,16 @@
   Future<StoredObject> create(String kind, String name, JsonObject content);
 
   /**
-   * Replaces an object's content; fails with a {@link StoreException}, also if the object's
-   * revision is not the given one.
+   * Replaces an object's content; fails with a {@link StoreException}, also if the object's last
+   * change is not at the given position. If the store was restored meanwhile, its answer does not
+   * tell whether the condition held, and the call fails with an unknown outcome.
    */
-  Future<StoredObject> replace(String kind, String name, JsonObject content, long revision);
+  Future<StoredObject> replace(
+      String kind, String name, JsonObject content, StorePosition position);
 
   /**
-   * Deletes an object; fails with a {@link StoreException}, also if the object's revision is not
-   * the given one.
+   * Deletes an object; fails with a {@link StoreException}, also if the object's last change is not
+   * at the given position.
    */
-  Future<Void> delete(String kind, String name, long revision);
+  Future<Void> delete(String kind, String name, StorePosition position);
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/port/PlatformModel.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/PlatformModel.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.mirror.ContentVersion;
 
 /** Kinds, names and format of the store objects in which the platform describes itself. */
 public interface PlatformModel {
@@ -19,6 +20,12 @@
   /** Returns the kind of the objects that name the data centres that are taken out. */
   String takenOutKind();
 
+  /**
+   * Returns the version that the writer of an object of the platform's kinds put into its content;
+   * empty if it has none.
+   */
+  Optional<ContentVersion> contentVersion(String kind, JsonObject content);
+
   /** Parses the configuration; empty if the content is not valid. */
   Optional<Catalog> catalog(JsonObject content);
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.toucanmast.core.mirror.ContentVersion;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -42,7 +44,7 @@
   private final FleetLinks links;
   private final FleetMembership membership;
   private final Map<String, FleetMember> members = new TreeMap<>();
-  private final Map<String, Long> revisions = new HashMap<>();
+  private final Map<String, StorePosition> positions = new HashMap<>();
   private final Map<String, Long> unreachableSince = new HashMap<>();
   private boolean registrationPending;
   private boolean deregistered;
@@ -66,9 +68,15 @@
     members.put(self.name(), self);
   }
 
+  /** Returns the version of a VM's entry: the incarnation of the process that wrote it. */
+  static Optional<ContentVersion> contentVersion(StoredObject object) {
+    return FleetMember.of(object.name(), object.content())
+        .map(member -> new ContentVersion(member.incarnation(), 0));
+  }
+
   @Override
   public void onObject(StoredObject object, long changedSince) {
-    revisions.put(object.name(), object.revision());
+    positions.put(object.name(), object.position());
     Optional<FleetMember> member = FleetMember.of(object.name(), object.content());
     if (object.name().equals(self.name())) {
       if (member.isEmpty() || !member.get().equals(self)) {
@@ -87,7 +95,7 @@
 
   @Override
   public void onObjectRemoved(String name) {
-    revisions.remove(name);
+    positions.remove(name);
     if (name.equals(self.name())) {
       register();
       return;
@@ -114,7 +122,7 @@
 
   @Override
   public void onAllObjects() {
-    if (!revisions.containsKey(self.name())) {
+    if (!positions.containsKey(self.name())) {
       register();
     }
   }
@@ -131,7 +139,7 @@
             result -> {
               registrationPending = false;
               if (result.succeeded()) {
-                revisions.put(self.name(), result.result().revision());
+                positions.put(self.name(), result.result().position());
               } else {
                 log.log(
                     EventKind.MEMBERSHIP,
@@ -152,16 +160,16 @@
     }
     return store
         .get(KIND, self.name())
-        .compose(existing -> store.replace(KIND, self.name(), self.toJson(), existing.revision()));
+        .compose(existing -> store.replace(KIND, self.name(), self.toJson(), existing.position()));
   }
 
   /** Deletes this VM's own object at a planned stop. */
   void deregister() {
     deregistered = true;
-    Long revision = revisions.get(self.name());
-    if (revision != null) {
+    StorePosition position = positions.get(self.name());
+    if (position != null) {
       store
-          .delete(KIND, self.name(), revision)
+          .delete(KIND, self.name(), position)
           .onFailure(
               error ->
                   log.log(
@@ -188,11 +196,11 @@
     }
     unreachableSince.forEach(
         (name, since) -> {
-          Long revision = revisions.get(name);
-          if (now - since > REMOVAL_TIMEOUT_IN_MILLISECONDS && revision != null) {
+          StorePosition position = positions.get(name);
+          if (now - since > REMOVAL_TIMEOUT_IN_MILLISECONDS && position != null) {
             log.log(EventKind.MEMBERSHIP, "deleting unreachable member", "peer", name);
             store
-                .delete(KIND, name, revision)
+                .delete(KIND, name, position)
                 .onFailure(
                     error ->
                         log.log(
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -16,6 +16,8 @@
 import org.toucanmast.core.membership.Rendezvous;
 import org.toucanmast.core.mirror.ChangePromises;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.Retention;
+import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.clock.VmClock;
@@ -105,13 +107,11 @@
     this.clock = new VmClock();
     this.log = log;
     this.model = ports.model();
-    NetClient client =
-        vertx.createNetClient(
-            new NetClientOptions()
-                .setConnectTimeout(CONNECT_TIMEOUT_IN_MILLISECONDS)
-                .setTcpNoDelay(true)
-                .setReconnectAttempts(0));
+    NetClient client = client(vertx);
     long incarnation = System.currentTimeMillis();
+    StoreEra era = new StoreEra();
+    PromotionCoordinator promotions =
+        new PromotionCoordinator(ports.store(), ports.promotions(), clock, log, settings.name());
     GatewayContext context =
         new GatewayContext(
             vertx,
@@ -119,8 +119,7 @@
             ports.endpoints(),
             clock,
             log,
-            new PromotionCoordinator(
-                ports.store(), ports.promotions(), clock, log, settings.name()),
+            promotions,
             settings.dataCentre(),
             incarnation);
     this.router = new GatewayRouter();
@@ -149,13 +148,24 @@
     this.registry = new FleetRegistry(vertx, ports.store(), clock, log, self, links, membership);
     this.mirrors =
         new StoreMirrors(
-            vertx, ports.store(), clock, log, links, settings.name(), mirrorsListener());
+            new KindMirror.Environment(vertx, clock, ports.store(), era, log),
+            links::pullMirror,
+            settings.name(),
+            mirrorsListener());
     context.setPromises(settings.promises());
     sessions.setMirrorAges(mirrors::describeAges);
     context.setIsolated(membership::isIsolated);
     clock.addDisagreementListener(this::onClockDisagreement);
     createMirrors();
-    mirrors.registerAges(metrics);
+    mirrors.registerMetrics(metrics);
+  }
+
+  private static NetClient client(Vertx vertx) {
+    return vertx.createNetClient(
+        new NetClientOptions()
+            .setConnectTimeout(CONNECT_TIMEOUT_IN_MILLISECONDS)
+            .setTcpNoDelay(true)
+            .setReconnectAttempts(0));
   }
 
   private static FleetMember member(SessionVmSettings settings, long incarnation) {
@@ -170,11 +180,27 @@
 
   private void createMirrors() {
     ChangePromises promises = settings.promises();
-    mirrors.add(model.configurationKind(), promises.configurationTiming(), configurationListener());
-    mirrors.add(model.endpointKind(), promises.drainingTiming(), gateways.endpointListener());
-    mirrors.add(model.takenOutKind(), promises.takenOutTiming(), gateways.dataCentreListener());
     mirrors.add(
-        FleetRegistry.KIND, PropagationTiming.within(MEMBERS_LIMIT_IN_MILLISECONDS), registry);
+        platformKind(model.configurationKind(), promises.configurationTiming(), Retention.NEWEST),
+        configurationListener());
+    mirrors.add(
+        platformKind(model.endpointKind(), promises.drainingTiming(), Retention.REWRITTEN),
+        gateways.endpointListener());
+    mirrors.add(
+        platformKind(model.takenOutKind(), promises.takenOutTiming(), Retention.REWRITTEN),
+        gateways.dataCentreListener());
+    mirrors.add(
+        new KindMirror.Kind(
+            FleetRegistry.KIND,
+            PropagationTiming.within(MEMBERS_LIMIT_IN_MILLISECONDS),
+            Retention.MEMBERS,
+            FleetRegistry::contentVersion),
+        registry);
+  }
+
+  private KindMirror.Kind platformKind(String name, PropagationTiming timing, Retention retention) {
+    return new KindMirror.Kind(
+        name, timing, retention, object -> model.contentVersion(name, object.content()));
   }
 
   private StoreMirrors.Listener mirrorsListener() {
@@ -188,6 +214,11 @@
       public void onStoreAccessChanged() {
         membership.setStoreRefused(mirrors.isStoreRefused());
       }
+
+      @Override
+      public void onNewEra() {
+        log.log(EventKind.DEPENDENCY, "promotion locks are of an earlier era of the store");
+      }
     };
   }
 
@@ -268,11 +299,14 @@
 
   /**
    * Lets sessions start once this VM knows the configuration, the endpoints and the reachable
-   * peers. Before that, it would be every group's gateway and use up the endpoints' connections.
+   * peers, and one of those has told what it knows: of a store that was just restored, the peers
+   * know a newer state than the store. Before that, this VM would also be every group's gateway and
+   * use up the endpoints' connections.
    */
   private void checkInitialization() {
     boolean loaded = mirrors.areLoaded() && sessions.catalog().isLoaded();
-    boolean neighboursKnown = membership.areNeighboursKnown();
+    boolean heardFromPeers = mirrors.hasHeardFromPeers() || reachable.size() <= 1;
+    boolean neighboursKnown = membership.areNeighboursKnown() && heardFromPeers;
     boolean timedOut = clock.now() - startedAt > INITIALIZATION_TIMEOUT_IN_MILLISECONDS;
     if (sessions.catalog().isLoaded() && (loaded && neighboursKnown || timedOut)) {
       log.log(EventKind.PROCESS, "settled", "followed", loaded, "decided", neighboursKnown);
@@ -343,6 +377,7 @@
             .setLeaving(leaving)
             .setLentLots(allowances.partitionsLentTo(vm))
             .setUptimeInMilliseconds(allowances.uptimeInMilliseconds());
+    mirrors.describeEra(heartbeat);
     if (membership.neighbours().contains(vm)) {
       membership.describe(vm, heartbeat);
       mirrors.describe(heartbeat);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -2,31 +2,23 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonObject;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.StringJoiner;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import org.toucanmast.core.mirror.MirrorFreshness;
-import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.mirror.WatchRole;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
-import org.toucanmast.runtime.fleet.FleetLinks;
-import org.toucanmast.runtime.port.ObjectStore;
-import org.toucanmast.runtime.port.StoredObject;
 import org.toucanmast.runtime.store.KindMirror;
 import org.toucanmast.schema.FleetPulse;
-import org.toucanmast.schema.MirrorObject;
 import org.toucanmast.schema.MirrorPull;
 import org.toucanmast.schema.MirrorPush;
 import org.toucanmast.schema.MirrorState;
@@ -49,42 +41,54 @@
 
     /** The store answered this VM again, or no longer does. */
     void onStoreAccessChanged();
+
+    /** The store was restored, and began a new era. */
+    void onNewEra();
   }
 
   private final KindMirror.Environment environment;
   private final VmClock clock;
   private final EventLog log;
-  private final FleetLinks links;
+  private final BiConsumer<String, MirrorPull> pullSender;
   private final Listener listener;
   private final Map<String, MirroredKind> kinds = new TreeMap<>();
   private final Set<String> refusedKinds = new HashSet<>();
   private final Map<String, Long> lastPullAt = new HashMap<>();
+  private final StoreEra era;
+  private final Set<String> kindsWithRetainedKnown = new HashSet<>();
+  private final Set<String> requestsForRetained = new HashSet<>();
   private final String vm;
   private final long startedAt;
   private boolean assigned;
   private boolean storeRefused;
+  private boolean heardFromPeers;
 
   private record MirroredKind(KindMirror mirror, MirrorFreshness freshness) {}
 
+  /**
+   * Creates mirrors of no kinds.
+   *
+   * @param pullSender sends a request for a mirror's content to a VM
+   * @param vm the name of this VM
+   */
   StoreMirrors(
-      Vertx vertx,
-      ObjectStore store,
-      VmClock clock,
-      EventLog log,
-      FleetLinks links,
+      KindMirror.Environment environment,
+      BiConsumer<String, MirrorPull> pullSender,
       String vm,
       Listener listener) {
-    this.environment = new KindMirror.Environment(vertx, clock, store, log);
-    this.clock = clock;
-    this.log = log;
-    this.links = links;
+    this.environment = environment;
+    this.era = environment.era();
+    this.clock = environment.clock();
+    this.log = environment.log();
+    this.pullSender = pullSender;
     this.listener = listener;
     this.vm = vm;
     this.startedAt = clock.now();
   }
 
-  void add(String kind, PropagationTiming timing, KindMirror.Listener kindListener) {
-    MirrorFreshness freshness = new MirrorFreshness(vm, timing, startedAt);
+  void add(KindMirror.Kind mirrored, KindMirror.Listener kindListener) {
+    String kind = mirrored.name();
+    MirrorFreshness freshness = new MirrorFreshness(vm, mirrored.timing(), startedAt);
     KindMirror.StoreListener storeListener =
         new KindMirror.StoreListener() {
           @Override
@@ -103,18 +107,65 @@
           public void onMirrorChanged() {
             listener.onMirrorsChanged();
           }
+
+          @Override
+          public void onNewEra() {
+            onRestored("store", kind);
+          }
         };
     KindMirror mirror =
-        new KindMirror(environment, kind, timing, freshness, kindListener, storeListener);
+        new KindMirror(environment, mirrored, freshness, kindListener, storeListener);
     kinds.put(kind, new MirroredKind(mirror, freshness));
   }
 
+  /**
+   * Lets all mirrors take over the objects of a new era.
+   *
+   * @param source from whom the VM has learned of the era
+   * @param learnedBy the kind whose mirror takes over its objects already
+   */
+  private void onRestored(String source, String learnedBy) {
+    log.log(
+        EventKind.DEPENDENCY,
+        "new era of the store",
+        "era",
+        era.number(),
+        "source",
+        source,
+        "objects",
+        learnedBy);
+    kindsWithRetainedKnown.clear();
+    requestsForRetained.clear();
+    kinds.forEach(
+        (name, kind) -> {
+          if (!name.equals(learnedBy)) {
+            kind.mirror().onNewEra();
+          }
+        });
+    listener.onNewEra();
+    listener.onMirrorsChanged();
+  }
+
+  /** Records the era of an answer that the store gave to a call of another component. */
+  void onAnswerOfEra(long number) {
+    if (era.onAnswer(number, clock.now())) {
+      onRestored("store", "");
+    }
+  }
+
   void start() {
     kinds.values().forEach(kind -> kind.mirror().start());
   }
 
+  /** Returns whether all objects are known, and what peers retain from earlier eras as well. */
   boolean areLoaded() {
-    return kinds.values().stream().allMatch(kind -> kind.mirror().isLoaded());
+    return requestsForRetained.isEmpty()
+        && kinds.values().stream().allMatch(kind -> kind.mirror().isLoaded());
+  }
+
+  /** Returns whether a peer has told what it knows of the store. */
+  boolean hasHeardFromPeers() {
+    return heardFromPeers;
   }
 
   /** Returns whether the store does not answer this VM. */
@@ -148,11 +199,18 @@
     return kinds.get(kind).freshness().ageInMilliseconds(clock.now());
   }
 
-  /** Registers a gauge of the age of each kind, in milliseconds; -1 while it is unknown. */
-  void registerAges(MetricRegistry metrics) {
+  /**
+   * Registers a gauge of the age of each kind, in milliseconds, which is -1 while it is unknown, a
+   * gauge of the objects retained from earlier eras, and one of the store's era.
+   */
+  void registerMetrics(MetricRegistry metrics) {
+    Gauge<Long> eraNumber = era::number;
+    metrics.registerGauge("store.era", eraNumber);
     for (String kind : kinds.keySet()) {
       Gauge<Long> age = () -> ageInMilliseconds(kind).orElse(-1);
       metrics.registerGauge("mirror.age." + kind, age);
+      Gauge<Integer> retained = () -> kinds.get(kind).mirror().retainedObjects().size();
+      metrics.registerGauge("mirror.retained." + kind, retained);
     }
   }
 
@@ -184,6 +242,7 @@
         (name, kind) -> {
           WatchRole role = settled ? role(kind, now) : WatchRole.FOLLOWER;
           kind.mirror().setRole(role);
+          kind.mirror().updateRetention();
           if (!role.watches()) {
             refusedKinds.remove(name);
           }
@@ -198,6 +257,21 @@
     return kind.freshness().isOutdated(now) ? WatchRole.FALLBACK : WatchRole.FOLLOWER;
   }
 
+  /**
+   * Adds the store's era, and of which kinds this VM retains objects, to a heartbeat for any VM:
+   * one that has just started needs them before it serves sessions.
+   */
+  void describeEra(FleetPulse.Builder heartbeat) {
+    heartbeat.setStoreEra(era.number());
+    era.ageInMilliseconds(clock.now()).ifPresent(heartbeat::setStoreEraAgeInMilliseconds);
+    kinds.forEach(
+        (name, kind) -> {
+          if (!kind.mirror().retainedObjects().isEmpty()) {
+            heartbeat.addRetainedKinds(name);
+          }
+        });
+  }
+
   /** Adds the state of the mirrors to a heartbeat for a neighbour. */
   void describe(FleetPulse.Builder heartbeat) {
     kinds.forEach(
@@ -205,34 +279,70 @@
           MirrorState.Builder state =
               MirrorState.newBuilder()
                   .setKind(name)
-                  .setChangedAt(kind.mirror().lastChangeRevision());
+                  .setEra(kind.mirror().lastChange().era())
+                  .setChangedAt(kind.mirror().lastChange().revision());
           ageInMilliseconds(name).ifPresent(state::setAgeInMilliseconds);
           heartbeat.addMirrors(state);
         });
   }
 
-  /** Requests what this VM's mirrors lack from the neighbour that sent a heartbeat. */
+  /**
+   * Requests what this VM's mirrors lack from the VM that sent a heartbeat. What it knows from an
+   * earlier era is of no use, nor is its age.
+   */
   void onHeartbeat(String vm, FleetPulse heartbeat) {
+    heardFromPeers = true;
+    OptionalLong eraAge =
+        heartbeat.hasStoreEraAgeInMilliseconds()
+            ? OptionalLong.of(heartbeat.getStoreEraAgeInMilliseconds())
+            : OptionalLong.empty();
+    if (era.onPeer(heartbeat.getStoreEra(), eraAge, clock.now())) {
+      onRestored(vm, "");
+    }
+    if (heartbeat.getStoreEra() == era.number()) {
+      heartbeat.getRetainedKindsList().forEach(kind -> requestRetained(vm, kind));
+    }
     for (MirrorState state : heartbeat.getMirrorsList()) {
       MirroredKind kind = kinds.get(state.getKind());
-      if (kind == null) {
+      if (kind == null || state.getEra() < era.number()) {
         continue;
       }
-      if (state.getChangedAt() > kind.mirror().lastChangeRevision()) {
-        pull(vm, state.getKind(), kind.mirror());
+      KindMirror mirror = kind.mirror();
+      StorePosition changedAt = new StorePosition(state.getEra(), state.getChangedAt());
+      if (changedAt.isAfter(mirror.lastChange())) {
+        pull(vm, state.getKind(), mirror.completeTo());
       } else if (state.hasAgeInMilliseconds()) {
         onPeerAge(kind, state.getAgeInMilliseconds());
       }
     }
   }
 
-  private void pull(String vm, String kind, KindMirror mirror) {
+  /**
+   * Requests the objects that a peer retains, unless this VM retains some as well or a peer has
+   * passed them on: a VM that has started in the present era knows no earlier one.
+   */
+  private void requestRetained(String vm, String kindName) {
+    MirroredKind kind = kinds.get(kindName);
+    if (kind != null
+        && kind.mirror().retainedObjects().isEmpty()
+        && !kindsWithRetainedKnown.contains(kindName)) {
+      requestsForRetained.add(kindName);
+      pull(vm, kindName, new StorePosition(era.number(), 0));
+    }
+  }
+
+  private void pull(String vm, String kind, StorePosition completeTo) {
     long now = clock.now();
     Long lastPull = lastPullAt.get(kind);
     if (lastPull == null || now - lastPull >= PULL_INTERVAL_IN_MILLISECONDS) {
       lastPullAt.put(kind, now);
-      links.pullMirror(
-          vm, MirrorPull.newBuilder().setKind(kind).setCompleteTo(mirror.completeTo()).build());
+      pullSender.accept(
+          vm,
+          MirrorPull.newBuilder()
+              .setKind(kind)
+              .setEra(completeTo.era())
+              .setCompleteTo(completeTo.revision())
+              .build());
     }
   }
 
@@ -245,29 +355,13 @@
 
   /** Returns what a peer lacks of the mirror of a kind. */
   MirrorPush contentFor(MirrorPull request) {
-    MirrorPush.Builder content = MirrorPush.newBuilder().setKind(request.getKind());
     MirroredKind kind = kinds.get(request.getKind());
     if (kind == null) {
-      return content.build();
-    }
-    ageInMilliseconds(request.getKind()).ifPresent(content::setAgeInMilliseconds);
-    KindMirror.Update update = kind.mirror().updateFor(request.getCompleteTo());
-    content.setChangedAt(update.lastChange()).setCompleteTo(Math.max(0, update.completeTo()));
-    update.since().ifPresent(content::setChangesSince);
-    for (ObjectStore.Change change : update.changes()) {
-      StoredObject object = change.object();
-      MirrorObject.Builder item =
-          MirrorObject.newBuilder()
-              .setName(object.name())
-              .setRevision(object.revision())
-              .setDeleted(change.deleted())
-              .setMaximumAgeInMilliseconds(update.maximumAges().getOrDefault(object.name(), 0L));
-      if (object.content() != null && !change.deleted()) {
-        item.setContent(object.content().encode());
-      }
-      content.addObjects(item);
+      return MirrorPush.newBuilder().setKind(request.getKind()).build();
     }
-    return content.build();
+    KindMirror.Update update =
+        kind.mirror().updateFor(new StorePosition(request.getEra(), request.getCompleteTo()));
+    return MirrorMessages.encode(request.getKind(), update, ageInMilliseconds(request.getKind()));
   }
 
   /** Takes over what a peer passed on of the mirror of a kind. */
@@ -278,27 +372,14 @@
     }
     KindMirror mirror = kind.mirror();
     lastPullAt.remove(content.getKind());
-    List<ObjectStore.Change> changes = new ArrayList<>();
-    Map<String, Long> ages = new HashMap<>();
-    for (MirrorObject item : content.getObjectsList()) {
-      ages.put(item.getName(), item.getMaximumAgeInMilliseconds());
-      JsonObject value = item.getContent().isEmpty() ? null : new JsonObject(item.getContent());
-      changes.add(
-          new ObjectStore.Change(
-              new StoredObject(item.getName(), new StorePosition(0, item.getRevision()), value),
-              item.getDeleted()));
+    requestsForRetained.remove(content.getKind());
+    if (content.getEra() == era.number() && !content.hasChangesSince()) {
+      kindsWithRetainedKnown.add(content.getKind());
     }
-    boolean changed =
-        mirror.onUpdate(
-            new KindMirror.Update(
-                content.hasChangesSince()
-                    ? Optional.of(content.getChangesSince())
-                    : Optional.empty(),
-                changes,
-                content.getCompleteTo(),
-                content.getChangedAt(),
-                ages));
-    if (content.hasAgeInMilliseconds() && content.getChangedAt() <= mirror.lastChangeRevision()) {
+    boolean changed = mirror.onUpdate(MirrorMessages.decode(content));
+    StorePosition changedAt = new StorePosition(content.getEra(), content.getChangedAt());
+    boolean isSameEra = changedAt.era() == mirror.lastChange().era();
+    if (content.hasAgeInMilliseconds() && isSameEra && !changedAt.isAfter(mirror.lastChange())) {
       onPeerAge(kind, content.getAgeInMilliseconds());
     }
     if (changed) {
@@ -310,9 +391,13 @@
           "peer",
           vm,
           "changes",
-          changes.size(),
+          content.getObjectsCount(),
+          "era",
+          content.getEra(),
           "revision",
-          content.getChangedAt());
+          content.getChangedAt(),
+          "retained",
+          content.getRetainedCount());
       listener.onMirrorsChanged();
     }
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/session/StoreMirrorsTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/session/StoreMirrorsTest.java
@@ -4,11 +4,15 @@
 
 import io.vertx.core.Vertx;
 import java.io.OutputStream;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.Retention;
+import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
@@ -18,6 +22,8 @@
 import org.toucanmast.runtime.store.InMemoryObjectStore;
 import org.toucanmast.runtime.store.KindMirror;
 import org.toucanmast.schema.FleetPulse;
+import org.toucanmast.schema.MirrorPull;
+import org.toucanmast.schema.MirrorPush;
 import org.toucanmast.schema.MirrorState;
 
 class StoreMirrorsTest {
@@ -27,6 +33,7 @@
   private final Vertx vertx = Vertx.vertx();
   private final InMemoryObjectStore store = new InMemoryObjectStore();
   private long now = 100_000;
+  private final List<MirrorPull> pulls = new ArrayList<>();
   private int announcements;
   private StoreMirrors mirrors;
 
@@ -34,11 +41,13 @@
   void start() {
     mirrors =
         new StoreMirrors(
-            vertx,
-            store,
-            new VmClock(() -> now, () -> now),
-            new EventLog("vm", OutputStream.nullOutputStream()),
-            null,
+            new KindMirror.Environment(
+                vertx,
+                new VmClock(() -> now, () -> now),
+                store,
+                new StoreEra(),
+                new EventLog("vm", OutputStream.nullOutputStream())),
+            (peer, request) -> pulls.add(request),
             "vm",
             new StoreMirrors.Listener() {
               @Override
@@ -50,13 +59,23 @@
               public void onStoreAccessChanged() {
                 // The tests ask for the state.
               }
+
+              @Override
+              public void onNewEra() {
+                // The tests look at the mirrors.
+              }
             });
-    mirrors.add(CONFIGURATION, PropagationTiming.within(3_000), new IgnoringListener());
-    mirrors.add(ENDPOINTS, PropagationTiming.within(3_000), new IgnoringListener());
+    mirrors.add(kind(CONFIGURATION), new IgnoringListener());
+    mirrors.add(kind(ENDPOINTS), new IgnoringListener());
     mirrors.start();
     announcements = 0;
   }
 
+  private static KindMirror.Kind kind(String name) {
+    return new KindMirror.Kind(
+        name, PropagationTiming.within(3_000), Retention.REWRITTEN, object -> Optional.empty());
+  }
+
   @AfterEach
   void close() {
     vertx.close();
@@ -131,4 +150,46 @@
     onHeartbeat(0, 0);
     assertThat(announcements).isEqualTo(2);
   }
+
+  private static FleetPulse.Builder heartbeatOfEra(long era, long configurationAge) {
+    return FleetPulse.newBuilder()
+        .setStoreEra(era)
+        .addMirrors(state(CONFIGURATION, configurationAge).toBuilder().setEra(era));
+  }
+
+  @Test
+  void should_not_rely_on_peers_that_know_an_earlier_era_only() {
+    mirrors.onAnswerOfEra(1);
+    mirrors.onAnswerOfEra(2);
+    for (int second = 0; second < 4; second++) {
+      now += 1_000;
+      mirrors.onHeartbeat("peer", heartbeatOfEra(1, 0).build());
+    }
+    mirrors.updateWatching();
+
+    assertThat(store.watchedKinds()).contains(CONFIGURATION);
+  }
+
+  @Test
+  void should_pass_on_the_era_and_since_when_it_is_in_force() {
+    mirrors.onAnswerOfEra(1);
+    now += 1_000;
+    mirrors.onAnswerOfEra(2);
+    now += 700;
+    FleetPulse.Builder heartbeat = FleetPulse.newBuilder();
+    mirrors.describeEra(heartbeat);
+
+    assertThat(heartbeat.getStoreEra()).isEqualTo(2);
+    assertThat(heartbeat.getStoreEraAgeInMilliseconds()).isEqualTo(700);
+  }
+
+  @Test
+  void should_not_count_as_loaded_until_a_peer_has_passed_on_what_it_retains() {
+    mirrors.onHeartbeat("peer", FleetPulse.newBuilder().addRetainedKinds(CONFIGURATION).build());
+    assertThat(pulls).extracting(MirrorPull::getCompleteTo).containsExactly(0L);
+    assertThat(mirrors.areLoaded()).isFalse();
+
+    mirrors.onContent("peer", MirrorPush.newBuilder().setKind(CONFIGURATION).build());
+    assertThat(mirrors.areLoaded()).isTrue();
+  }
 }
--- a/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/InMemoryObjectStore.java
@@ -19,6 +19,7 @@
   private final List<Promise<Changes>> watches = new ArrayList<>();
   private final List<String> watchedKinds = new ArrayList<>();
   private long revision = 10;
+  private long era;
   private Reason failure;
   private int listCalls;
 
@@ -30,11 +31,28 @@
   /** Writes an object on behalf of another client of the store. */
   public StoredObject put(String kind, String name, JsonObject content) {
     revision++;
-    StoredObject object = new StoredObject(name, new StorePosition(0, revision), content);
+    StoredObject object = new StoredObject(name, new StorePosition(era, revision), content);
     objects.put(kind + "/" + name, object);
     return object;
   }
 
+  /** Returns a copy of the store, to which it can go back later; this begins a new era. */
+  public Runnable copy() {
+    Map<String, StoredObject> copy = new LinkedHashMap<>(objects);
+    long revisionOfCopy = revision;
+    return () -> {
+      era++;
+      revision = revisionOfCopy;
+      objects.clear();
+      copy.forEach(
+          (key, object) ->
+              objects.put(
+                  key,
+                  new StoredObject(
+                      object.name(), new StorePosition(era, object.revision()), object.content())));
+    };
+  }
+
   /** Returns the number of list calls. */
   public int listCalls() {
     return listCalls;
@@ -80,7 +98,7 @@
             found.add(object);
           }
         });
-    return answer(new Listing(found, new StorePosition(0, revision)));
+    return answer(new Listing(found, new StorePosition(era, revision)));
   }
 
   @Override
@@ -107,15 +125,15 @@
 
   @Override
   public Future<StoredObject> replace(
-      String kind, String name, JsonObject content, long expectedRevision) {
+      String kind, String name, JsonObject content, StorePosition expected) {
     StoredObject object = objects.get(kind + "/" + name);
-    return object == null || object.revision() != expectedRevision
+    return object == null || !object.position().equals(expected)
         ? failed(Reason.CONFLICT)
         : answer(put(kind, name, content));
   }
 
   @Override
-  public Future<Void> delete(String kind, String name, long expectedRevision) {
+  public Future<Void> delete(String kind, String name, StorePosition expected) {
     objects.remove(kind + "/" + name);
     return answer(null);
   }
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -11,12 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.toucanmast.core.mirror.MirrorFreshness;
 import org.toucanmast.core.mirror.PropagationTiming;
+import org.toucanmast.core.mirror.Retention;
+import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.mirror.WatchRole;
 import org.toucanmast.runtime.clock.VmClock;
@@ -36,6 +39,7 @@
   private final List<Boolean> availability = new ArrayList<>();
   private final Map<String, Long> changeTimes = new HashMap<>();
   private final MirrorFreshness freshness = new MirrorFreshness("vm", TIMING, 0);
+  private final StoreEra era = new StoreEra();
   private int currentReports;
   private long now = 100_000;
   private final KindMirror mirror =
@@ -44,9 +48,9 @@
               vertx,
               new VmClock(() -> now, () -> now),
               store,
+              era,
               new EventLog("vm", OutputStream.nullOutputStream())),
-          "kind",
-          TIMING,
+          new KindMirror.Kind("kind", TIMING, Retention.REWRITTEN, object -> Optional.empty()),
           freshness,
           new KindMirror.Listener() {
             @Override
@@ -76,6 +80,11 @@
             public void onMirrorChanged() {
               // The tests look at the mirror itself.
             }
+
+            @Override
+            public void onNewEra() {
+              // There are no other mirrors.
+            }
           });
 
   @BeforeEach
@@ -90,7 +99,8 @@
   private static KindMirror.Update update(
       Optional<Long> since, long completeTo, StoredObject... objects) {
     List<Change> changes = Stream.of(objects).map(object -> new Change(object, false)).toList();
-    return new KindMirror.Update(since, changes, completeTo, completeTo, Map.of());
+    return new KindMirror.Update(
+        since, changes, new StorePosition(0, completeTo), completeTo, Map.of(), List.of());
   }
 
   private static StoredObject object(String name, long revision) {
@@ -121,7 +131,7 @@
   void should_list_again_when_the_store_no_longer_keeps_the_history() {
     StoredObject first = store.put("kind", "a", new JsonObject());
     mirror.start();
-    store.delete("kind", "a", first.revision());
+    store.delete("kind", "a", first.position());
     store.put("kind", "b", new JsonObject());
     store.lastWatch().fail(new StoreException(Reason.HISTORY_GONE, "gone"));
 
@@ -163,7 +173,9 @@
   void should_keep_objects_that_are_newer_than_what_a_peer_has_seen() {
     mirror.start();
     store.lastWatch().complete(changes(List.of(new Change(object("a", 90), false)), 90));
-    mirror.onUpdate(new KindMirror.Update(Optional.empty(), List.of(), 80, 95, Map.of()));
+    mirror.onUpdate(
+        new KindMirror.Update(
+            Optional.empty(), List.of(), new StorePosition(0, 80), 95, Map.of(), List.of()));
 
     assertThat(notifications).containsExactly("+a");
   }
@@ -183,7 +195,7 @@
     StoredObject changed = object("a", 50);
     store.lastWatch().complete(changes(List.of(new Change(changed, false)), 57));
 
-    assertThat(mirror.lastChangeRevision()).isEqualTo(50);
+    assertThat(mirror.lastChange().revision()).isEqualTo(50);
   }
 
   @Test
@@ -192,7 +204,7 @@
     mirror.start();
     mirror.onUpdate(snapshot(90));
 
-    assertThat(mirror.lastChangeRevision()).isEqualTo(90);
+    assertThat(mirror.lastChange().revision()).isEqualTo(90);
   }
 
   @Test
@@ -200,7 +212,7 @@
     mirror.setRole(WatchRole.FOLLOWER);
     store.put("kind", "a", new JsonObject());
     mirror.start();
-    long completeTo = mirror.completeTo();
+    long completeTo = mirror.completeTo().revision();
     mirror.onUpdate(update(Optional.of(completeTo), 50, object("b", 50)));
 
     assertThat(notifications).containsExactly("+a", "+b");
@@ -214,11 +226,11 @@
     await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(2));
     store.lastWatch().complete(changes(List.of(new Change(object("b", 60), false)), 60));
 
-    KindMirror.Update update = mirror.updateFor(55);
+    KindMirror.Update update = mirror.updateFor(new StorePosition(0, 55));
 
     assertThat(update.since()).contains(55L);
     assertThat(update.changes()).extracting(change -> change.object().name()).containsExactly("b");
-    assertThat(update.completeTo()).isEqualTo(60);
+    assertThat(update.completeTo().revision()).isEqualTo(60);
   }
 
   @Test
@@ -226,7 +238,7 @@
     store.put("kind", "a", new JsonObject());
     mirror.start();
 
-    KindMirror.Update update = mirror.updateFor(0);
+    KindMirror.Update update = mirror.updateFor(new StorePosition(0, 0));
 
     assertThat(update.since()).isEmpty();
     assertThat(update.changes()).hasSize(1);
@@ -251,9 +263,10 @@
         new KindMirror.Update(
             Optional.of(40L),
             List.of(written, deleted, new Change(object("b", 61), false)),
+            new StorePosition(0, 61),
             61,
-            61,
-            Map.of()));
+            Map.of(),
+            List.of()));
 
     assertThat(notifications).containsExactly("+a", "-a", "+b");
   }
@@ -297,13 +310,89 @@
         new KindMirror.Update(
             Optional.empty(),
             List.of(new Change(object("a", 60), false)),
+            new StorePosition(0, 60),
             60,
-            60,
-            Map.of("a", 2_000L)));
+            Map.of("a", 2_000L),
+            List.of()));
 
     assertThat(changeTimes).containsEntry("a", now - 2_000);
     now += 300;
-    assertThat(mirror.updateFor(0).maximumAges()).containsEntry("a", 2_300L);
+    assertThat(mirror.updateFor(new StorePosition(0, 0)).maximumAges()).containsEntry("a", 2_300L);
+  }
+
+  @Test
+  void should_list_again_when_a_restored_store_accepts_the_revision_of_an_earlier_era() {
+    mirror.start();
+    store.put("kind", "a", new JsonObject());
+    Runnable restore = store.copy();
+    store.lastWatch().complete(changes(List.of(new Change(object("b", 50), false)), 50));
+    await().untilAsserted(() -> assertThat(store.watchCalls()).isEqualTo(2));
+    restore.run();
+    store.lastWatch().complete(new Changes(List.of(), new StorePosition(1, 60)));
+
+    assertThat(store.listCalls()).isEqualTo(2);
+    assertThat(mirror.completeTo()).isEqualTo(new StorePosition(1, 11));
+  }
+
+  @Test
+  void should_ignore_an_answer_of_an_earlier_era_that_arrives_late() {
+    mirror.start();
+    era.onAnswer(3, now);
+    store.lastWatch().complete(changes(List.of(new Change(object("a", 50), false)), 50));
+
+    assertThat(mirror.objects()).isEmpty();
+    assertThat(notifications).isEmpty();
+  }
+
+  @Test
+  void should_pause_when_the_position_of_a_listing_is_refused_as_well() {
+    mirror.start();
+    store.lastWatch().fail(new StoreException(Reason.HISTORY_GONE, "gone"));
+    assertThat(store.listCalls()).isEqualTo(2);
+    store.lastWatch().fail(new StoreException(Reason.HISTORY_GONE, "gone"));
+
+    assertThat(store.listCalls()).isEqualTo(2);
+    await().untilAsserted(() -> assertThat(store.listCalls()).isEqualTo(3));
+  }
+
+  @Test
+  void should_list_without_waiting_for_its_watch_when_a_new_era_becomes_known() {
+    mirror.start();
+    Runnable restore = store.copy();
+    restore.run();
+    era.onPeer(1, OptionalLong.of(100), now);
+    mirror.onNewEra();
+
+    assertThat(store.listCalls()).isEqualTo(2);
+    assertThat(mirror.completeTo().era()).isEqualTo(1);
+  }
+
+  @Test
+  void should_ignore_what_a_peer_knows_from_an_earlier_era() {
+    mirror.start();
+    era.onAnswer(1, now);
+
+    assertThat(mirror.onUpdate(snapshot(90, object("a", 90)))).isFalse();
+    assertThat(mirror.objects()).isEmpty();
+  }
+
+  @Test
+  void should_take_over_the_lower_revisions_of_a_later_era_from_a_peer() {
+    mirror.start();
+    mirror.onUpdate(snapshot(90, object("a", 90)));
+    StoredObject later = new StoredObject("a", new StorePosition(1, 20), new JsonObject());
+    boolean changed =
+        mirror.onUpdate(
+            new KindMirror.Update(
+                Optional.empty(),
+                List.of(new Change(later, false)),
+                new StorePosition(1, 30),
+                20,
+                Map.of(),
+                List.of()));
+
+    assertThat(changed).isTrue();
+    assertThat(mirror.lastChange()).isEqualTo(new StorePosition(1, 20));
   }
 
   @Test
