--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -30,6 +30,12 @@
   /** The kind of the objects that register VMs. */
   static final String KIND = "toucanmast-vms";
 
+  /**
+   * Time over which the VMs of a fleet register again after the store has lost their objects, so
+   * that they do not all write to it at the same moment.
+   */
+  private static final int REGISTRATION_SPREAD_IN_MILLISECONDS = 600;
+
   /** Delay before a failed registration is retried. */
   private static final long RETRY_DELAY_IN_MILLISECONDS = 500;
 
@@ -107,6 +113,16 @@
     scheduleMembersChanged();
   }
 
+  /** Registers again if the restored store has lost this VM's object or shows an earlier run. */
+  @Override
+  public void onObjectOutdatedInStore(String name) {
+    if (name.equals(self.name())) {
+      log.log(EventKind.MEMBERSHIP, "own entry lost by the store; registering again");
+      int delay = 1 + Math.floorMod(name.hashCode(), REGISTRATION_SPREAD_IN_MILLISECONDS);
+      vertx.setTimer(delay, fired -> register());
+    }
+  }
+
   /** Applies all changes of one turn of the event loop together; a fleet starts all at once. */
   private void scheduleMembersChanged() {
     if (!changeScheduled) {
