--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
@@ -4,8 +4,14 @@
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongConsumer;
+import org.toucanmast.core.failover.FencingTokens;
+import org.toucanmast.core.failover.PromotionLock;
+import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
@@ -19,9 +25,10 @@
  * Orders promotions under a promotion lock with a fencing token.
  *
  * <p>The lock of a group is an object in the store that names the VM that may order promotions. The
- * fencing token is the revision of the change by which this VM acquired the lock. The lock is
- * acquired in advance, so that a promotion does not depend on the store. A token is discarded when
- * an order with it was refused or has an unknown outcome.
+ * fencing token is made of the store's position of the change by which this VM acquired the lock.
+ * The lock is acquired in advance, so that a promotion does not depend on the store. A token is
+ * discarded when an order with it was refused or has an unknown outcome, and when the store was
+ * restored from a copy, which may lack the acquisition.
  *
  * <p>When a lock holder orders a promotion, it records this in the object. A VM that takes the lock
  * over afterwards orders nothing for the time of a lease. The record is kept in the object through
@@ -47,9 +54,11 @@
   private static final String HOLDER = "holder";
   private static final String COUNT = "count";
   private static final String ORDERED = "ordered";
+  private static final String ERA = "era";
 
   private final ObjectStore store;
   private final PromotionOrders orders;
+  private final StoreEra era;
   private final EventLog log;
   private final String vm;
   private final VmClock clock;
@@ -57,23 +66,31 @@
   private final Map<String, Future<FencingToken>> acquisitions = new HashMap<>();
   private final Map<String, Long> nextAcquisitionAt = new HashMap<>();
   private final Set<Long> recordedTokens = new HashSet<>();
+  private LongConsumer eraListener = answered -> {};
   private long writeCount;
 
   /**
    * A fencing token.
    *
-   * @param acquired the store's position of the acquisition of the lock; its revision is the token
+   * @param value the number that is sent with an order
+   * @param acquired the store's position of the acquisition of the lock
    * @param usableFrom when the first order may be given, on the steady clock in milliseconds
    */
-  private record FencingToken(StorePosition acquired, long usableFrom) {
-    long value() {
-      return acquired.revision();
-    }
-  }
+  private record FencingToken(long value, StorePosition acquired, long usableFrom) {}
 
-  /** Creates a coordinator that holds no locks. */
+  /**
+   * Creates a coordinator that holds no locks.
+   *
+   * @param era the store's era, as far as this VM knows
+   */
   public PromotionCoordinator(
-      ObjectStore store, PromotionOrders orders, VmClock clock, EventLog log, String vm) {
+      ObjectStore store,
+      PromotionOrders orders,
+      StoreEra era,
+      VmClock clock,
+      EventLog log,
+      String vm) {
+    this.era = era;
     this.clock = clock;
     this.store = store;
     this.orders = orders;
@@ -81,6 +98,26 @@
     this.vm = vm;
   }
 
+  /** Sets who is told the eras in which the store answers. */
+  public void setEraListener(LongConsumer listener) {
+    eraListener = listener;
+  }
+
+  /** Discards all locks: the restored store may lack their acquisition. */
+  public void onNewEra() {
+    if (!heldTokens.isEmpty()) {
+      log.log(
+          EventKind.PROMOTION,
+          "promotion locks of an earlier era discarded",
+          "era",
+          era.number(),
+          "groups",
+          List.copyOf(heldTokens.keySet()));
+    }
+    heldTokens.clear();
+    nextAcquisitionAt.clear();
+  }
+
   /**
    * Acquires the lock of a group unless this VM already holds it. A failure is logged, and a later
    * call tries again.
@@ -139,22 +176,53 @@
         .get(KIND, group)
         .compose(
             object -> takeOverLock(group, object),
-            error ->
-                isMissing(error)
-                    ? store
-                        .create(KIND, group, content(false))
-                        .map(stored -> new FencingToken(stored.position(), clock.now()))
-                    : Future.failedFuture(error));
+            error -> isMissing(error) ? createLock(group) : Future.failedFuture(error))
+        .compose(this::requirePresentEra);
+  }
+
+  private Future<FencingToken> createLock(String group) {
+    long number = era.number();
+    long usableFrom = usableFrom(Optional.empty(), number);
+    return store
+        .create(KIND, group, content(number, usableFrom > clock.now()))
+        .map(stored -> token(stored, usableFrom(Optional.empty(), stored.position().era())));
   }
 
   private Future<FencingToken> takeOverLock(String group, StoredObject current) {
-    JsonObject lockContent = current.content() == null ? new JsonObject() : current.content();
-    boolean alreadyHolder = vm.equals(lockContent.getString(HOLDER));
-    boolean hasOrdered = lockContent.getBoolean(ORDERED, true);
-    long leaseWaitMilliseconds = alreadyHolder || !hasOrdered ? 0 : LEASE_IN_MILLISECONDS;
+    JsonObject found = current.content() == null ? new JsonObject() : current.content();
+    PromotionLock previous =
+        new PromotionLock(
+            found.getString(HOLDER, ""), found.getLong(ERA, 0L), found.getBoolean(ORDERED, true));
+    long number = current.position().era();
+    eraListener.accept(number);
+    boolean mayHaveOrdered =
+        previous.ordered() || usableFrom(Optional.of(previous), number) > clock.now();
     return store
-        .replace(KIND, group, content(hasOrdered), current.position())
-        .map(stored -> new FencingToken(stored.position(), clock.now() + leaseWaitMilliseconds));
+        .replace(KIND, group, content(number, mayHaveOrdered), current.position())
+        .map(stored -> token(stored, usableFrom(Optional.of(previous), number)));
+  }
+
+  private long usableFrom(Optional<PromotionLock> previous, long number) {
+    return PromotionLock.usableFrom(
+        previous, vm, number, era.beganAt(), LEASE_IN_MILLISECONDS, clock.now());
+  }
+
+  private static FencingToken token(StoredObject stored, long usableFrom) {
+    return new FencingToken(FencingTokens.of(stored.position()), stored.position(), usableFrom);
+  }
+
+  /** Fails if the lock was acquired in an earlier era than this VM knows by now. */
+  private Future<FencingToken> requirePresentEra(FencingToken token) {
+    eraListener.accept(token.acquired().era());
+    return token.acquired().era() >= era.number()
+        ? Future.succeededFuture(token)
+        : Future.failedFuture(
+            new StoreException(
+                StoreException.Reason.UNKNOWN,
+                "expected the lock in era "
+                    + era.number()
+                    + " of the store but it was acquired in era "
+                    + token.acquired().era()));
   }
 
   private static boolean isMissing(Throwable error) {
@@ -162,10 +230,11 @@
         && failure.reason() == StoreException.Reason.MISSING;
   }
 
-  private JsonObject content(boolean hasOrdered) {
+  private JsonObject content(long number, boolean hasOrdered) {
     writeCount++;
     return new JsonObject()
         .put(HOLDER, vm)
+        .put(ERA, number)
         .put(COUNT, vm + "-" + writeCount)
         .put(ORDERED, hasOrdered);
   }
@@ -176,7 +245,7 @@
    */
   private void recordOrder(String group, FencingToken token, int attempt) {
     store
-        .replace(KIND, group, content(true), token.acquired())
+        .replace(KIND, group, content(token.acquired().era(), true), token.acquired())
         .onFailure(
             error -> {
               boolean lockLost =
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -86,6 +86,7 @@
   private final FleetMembership membership;
   private final FleetRegistry registry;
   private final StoreMirrors mirrors;
+  private final PromotionCoordinator promotions;
   private final Set<CallerSession> openSessions = new HashSet<>();
   private boolean leaving;
   private long startedAt;
@@ -110,8 +111,9 @@
     NetClient client = client(vertx);
     long incarnation = System.currentTimeMillis();
     StoreEra era = new StoreEra();
-    PromotionCoordinator promotions =
-        new PromotionCoordinator(ports.store(), ports.promotions(), clock, log, settings.name());
+    this.promotions =
+        new PromotionCoordinator(
+            ports.store(), ports.promotions(), era, clock, log, settings.name());
     GatewayContext context =
         new GatewayContext(
             vertx,
@@ -152,6 +154,7 @@
             links::pullMirror,
             settings.name(),
             mirrorsListener());
+    promotions.setEraListener(mirrors::onAnswerOfEra);
     context.setPromises(settings.promises());
     sessions.setMirrorAges(mirrors::describeAges);
     context.setIsolated(membership::isIsolated);
@@ -217,7 +220,7 @@
 
       @Override
       public void onNewEra() {
-        log.log(EventKind.DEPENDENCY, "promotion locks are of an earlier era of the store");
+        promotions.onNewEra();
       }
     };
   }
