--- a/core/src/main/java/org/toucanmast/core/configuration/ConfigurationState.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/ConfigurationState.java
@@ -9,6 +9,7 @@
  */
 public final class ConfigurationState {
   private FleetConfiguration current = FleetConfiguration.empty();
+  private long outdatedRevision;
   private long confirmedAtInNanoseconds;
   private boolean confirmed;
 
@@ -30,6 +31,20 @@
     return true;
   }
 
+  /**
+   * Keeps the configuration in force although the platform has a higher revision: the platform was
+   * restored from a copy, and under that revision shows an earlier state. Until it is edited, a
+   * confirmation of that revision confirms the configuration in force.
+   */
+  public void keepAgainst(long revision) {
+    outdatedRevision = revision;
+  }
+
+  /** Returns whether a revision is one against which the configuration in force is kept. */
+  public boolean isKeptAgainst(long revision) {
+    return outdatedRevision > current.revision() && revision == outdatedRevision;
+  }
+
   /**
    * Records that the platform reported a revision as its newest. Confirmations of other revisions
    * than the one in force, and confirmations older than the last one, are ignored.
@@ -38,7 +53,7 @@
    * @param atInNanoseconds the time of the report by this VM's clock
    */
   public void confirm(long revision, long atInNanoseconds) {
-    if (revision != current.revision()) {
+    if (revision != current.revision() && !isKeptAgainst(revision)) {
       return;
     }
     if (!confirmed || atInNanoseconds - confirmedAtInNanoseconds > 0) {
--- a/core/src/main/java/org/toucanmast/core/mirror/StorePosition.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/StorePosition.java
@@ -16,6 +16,12 @@
   /** The position of a mirror that has no objects yet; before all others. */
   public static final StorePosition NONE = new StorePosition(0, -1);
 
+  /** Bits of a number that hold the revision; the era is above them. */
+  private static final int REVISION_BITS = 40;
+
+  /** The highest era whose numbers other systems can still read as floating-point numbers. */
+  private static final long MAXIMUM_ERA_OF_NUMBER = (1L << (53 - REVISION_BITS)) - 1;
+
   private static final Comparator<StorePosition> ORDER =
       Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
 
@@ -43,4 +49,29 @@
   public boolean isAfter(StorePosition other) {
     return compareTo(other) > 0;
   }
+
+  /**
+   * Returns a number that is higher for later positions, for fencing tokens and other places where
+   * a single number is needed. Positions of era 0 have their revision as number.
+   *
+   * @throws IllegalArgumentException if the position is outside of the range of such numbers
+   */
+  public long toNumber() {
+    boolean fits = era <= MAXIMUM_ERA_OF_NUMBER && revision >= 0 && revision >> REVISION_BITS == 0;
+    if (!fits) {
+      throw new IllegalArgumentException(
+          "number of a position: expected an era up to "
+              + MAXIMUM_ERA_OF_NUMBER
+              + " and a revision from 0 to below 2^"
+              + REVISION_BITS
+              + " but was "
+              + this);
+    }
+    return (era << REVISION_BITS) + revision;
+  }
+
+  /** Returns the position that has a number. */
+  public static StorePosition ofNumber(long number) {
+    return new StorePosition(number >> REVISION_BITS, number & ((1L << REVISION_BITS) - 1));
+  }
 }
--- a/core/src/test/java/org/toucanmast/core/failover/PromotionLockTest.java
+++ b/core/src/test/java/org/toucanmast/core/failover/PromotionLockTest.java
@@ -1,12 +1,10 @@
 package org.toucanmast.core.failover;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
-import org.toucanmast.core.mirror.StorePosition;
 
 class PromotionLockTest {
   private static final long LEASE = 3_500;
@@ -53,22 +51,4 @@
   void should_wait_for_a_lease_when_the_time_of_the_restore_is_not_known() {
     assertThat(wait(lock("a", 1, false), OptionalLong.empty())).isEqualTo(LEASE);
   }
-
-  @Test
-  void should_give_higher_tokens_to_later_acquisitions() {
-    assertThat(FencingTokens.of(new StorePosition(2, 3)))
-        .isGreaterThan(FencingTokens.of(new StorePosition(1, 1_000_000)));
-    assertThat(FencingTokens.of(new StorePosition(2, 4)))
-        .isGreaterThan(FencingTokens.of(new StorePosition(2, 3)));
-    assertThat(FencingTokens.of(new StorePosition(0, 11))).isEqualTo(11);
-  }
-
-  @Test
-  void should_refuse_a_position_that_a_token_cannot_express() {
-    assertThatIllegalArgumentException()
-        .isThrownBy(() -> FencingTokens.of(new StorePosition(1, 1L << 40)))
-        .withMessageContaining("below 2^40");
-    assertThatIllegalArgumentException()
-        .isThrownBy(() -> FencingTokens.of(new StorePosition(1L << 20, 1)));
-  }
 }
--- a/core/src/test/java/org/toucanmast/core/mirror/StoreEraTest.java
+++ b/core/src/test/java/org/toucanmast/core/mirror/StoreEraTest.java
@@ -69,4 +69,30 @@
         .isThrownBy(() -> new StorePosition(-1, 0))
         .withMessageContaining("era >= 0");
   }
+
+  @Test
+  void should_have_higher_numbers_at_later_positions() {
+    assertThat(new StorePosition(2, 3).toNumber())
+        .isGreaterThan(new StorePosition(1, 1_000_000).toNumber());
+    assertThat(new StorePosition(2, 4).toNumber())
+        .isGreaterThan(new StorePosition(2, 3).toNumber());
+    assertThat(new StorePosition(0, 11).toNumber()).isEqualTo(11);
+  }
+
+  @Test
+  void should_refuse_a_number_for_a_position_that_it_cannot_express() {
+    assertThatIllegalArgumentException()
+        .isThrownBy(() -> new StorePosition(1, 1L << 40).toNumber())
+        .withMessageContaining("below 2^40");
+    assertThatIllegalArgumentException()
+        .isThrownBy(() -> new StorePosition(1L << 20, 1).toNumber());
+  }
+
+  @Test
+  void should_return_the_position_of_a_number() {
+    StorePosition position = new StorePosition(7, 123_456);
+
+    assertThat(StorePosition.ofNumber(position.toNumber())).isEqualTo(position);
+    assertThat(StorePosition.ofNumber(0)).isEqualTo(new StorePosition(0, 0));
+  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PromotionCoordinator.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongConsumer;
-import org.toucanmast.core.failover.FencingTokens;
 import org.toucanmast.core.failover.PromotionLock;
 import org.toucanmast.core.mirror.StoreEra;
 import org.toucanmast.core.mirror.StorePosition;
@@ -208,7 +207,7 @@
   }
 
   private static FencingToken token(StoredObject stored, long usableFrom) {
-    return new FencingToken(FencingTokens.of(stored.position()), stored.position(), usableFrom);
+    return new FencingToken(stored.position().toNumber(), stored.position(), usableFrom);
   }
 
   /** Fails if the lock was acquired in an earlier era than this VM knows by now. */
--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -6,17 +6,21 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.platform.PlatformException.Kind;
 import org.toucanmast.runtime.platform.PlatformVms.ListedVm;
 
@@ -25,17 +29,27 @@
  *
  * <p>Example: {@code client.read("configuration", "main")}. Each call has a timeout and is not
  * retried; failed futures carry a {@link PlatformException}.
+ *
+ * <p>A platform that was restored from a copy gives versions out again and reports a higher era.
+ * The versions of this client are numbers of {@link StorePosition}s, so that later ones are higher
+ * all the same.
  */
 public final class PlatformClient {
+  /** Header of the platform's answers with its era; a platform without eras leaves it out. */
+  private static final String ERA_HEADER = "Platform-Era";
+
   private static final int OK = 200;
   private static final int NOT_MODIFIED = 304;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
   private static final int MAXIMUM_CONNECTIONS = 4;
 
+  private static final Logger log = System.getLogger(PlatformClient.class.getName());
+
   private final HttpClientAgent client;
   private final HostAndPort address;
   private final long timeoutInMilliseconds;
+  private volatile long lastEra;
   private final LongAdder calls = new LongAdder();
   private final LongAdder failures = new LongAdder();
 
@@ -70,13 +84,22 @@
    */
   public Future<PlatformObject> watch(
       String kind, String name, long version, long waitInMilliseconds) {
-    String uri = path(kind, name) + "?after=" + version + "&wait=" + waitInMilliseconds;
+    StorePosition known = StorePosition.ofNumber(version);
+    if (known.era() < lastEra) {
+      return read(kind, name);
+    }
+    String uri = path(kind, name) + "?after=" + known.revision() + "&wait=" + waitInMilliseconds;
     return call(HttpMethod.GET, uri, null, waitInMilliseconds + timeoutInMilliseconds)
         .compose(
-            answer ->
-                answer.status() == NOT_MODIFIED
-                    ? Future.succeededFuture(new PlatformObject(version, ""))
-                    : toObject(kind, name, answer));
+            answer -> {
+              if (known.era() < answer.era() && version > 0) {
+                // The restored platform compared the version with one of its own era.
+                return read(kind, name);
+              }
+              return answer.status() == NOT_MODIFIED
+                  ? Future.succeededFuture(new PlatformObject(version, ""))
+                  : toObject(kind, name, answer);
+            });
   }
 
   /**
@@ -86,9 +109,21 @@
    *     and with {@link Kind#NO_ANSWER} when it is not known whether the update took effect
    */
   public Future<Long> update(String kind, String name, long expectedVersion, String value) {
-    String uri = path(kind, name) + "?expected=" + expectedVersion;
+    StorePosition expected = StorePosition.ofNumber(expectedVersion);
+    if (expectedVersion > 0 && expected.era() < lastEra) {
+      return fail(
+          Kind.CONFLICT,
+          kind + "/" + name + " was read before the platform was restored from a copy");
+    }
+    String uri = path(kind, name) + "?expected=" + expected.revision();
     return call(HttpMethod.PUT, uri, value, timeoutInMilliseconds)
-        .compose(answer -> toVersion(kind, name, answer));
+        .compose(
+            answer ->
+                expectedVersion > 0 && answer.era() != expected.era()
+                    ? fail(
+                        Kind.NO_ANSWER,
+                        "the platform was restored while " + kind + "/" + name + " was edited")
+                    : toVersion(kind, name, answer));
   }
 
   /** Reads the platform's list of VMs. */
@@ -106,7 +141,7 @@
     return failures.sum();
   }
 
-  private record Answer(int status, String body) {}
+  private record Answer(int status, String body, long era) {}
 
   private static String path(String kind, String name) {
     return "/objects/" + kind + "/" + name;
@@ -129,9 +164,7 @@
                 (body == null ? request.send() : request.send(Buffer.buffer(body)))
                     .compose(
                         response ->
-                            response
-                                .body()
-                                .map(text -> new Answer(response.statusCode(), text.toString()))))
+                            response.body().map(text -> toAnswer(response, text.toString()))))
         .recover(
             cause -> {
               failures.increment();
@@ -139,6 +172,24 @@
             });
   }
 
+  /** Takes over the era that an answer reports; the last one holds if it reports none. */
+  private Answer toAnswer(HttpClientResponse response, String body) {
+    long era = lastEra;
+    String reported = response.getHeader(ERA_HEADER);
+    if (reported != null) {
+      try {
+        era = Math.max(0, Long.parseLong(reported.trim()));
+      } catch (NumberFormatException e) {
+        log.log(Level.WARNING, "header {0}: expected a number but was {1}", ERA_HEADER, reported);
+      }
+    }
+    if (era > lastEra) {
+      log.log(Level.WARNING, "the platform is in era {0}, before in era {1}", era, lastEra);
+      lastEra = era;
+    }
+    return new Answer(response.statusCode(), body, era);
+  }
+
   private static <T> Future<T> fail(Kind kind, String message) {
     return Future.failedFuture(new PlatformException(kind, message));
   }
@@ -153,8 +204,13 @@
     try {
       JsonObject json = new JsonObject(answer.body());
       return Future.succeededFuture(
-          new PlatformObject(json.getLong("version"), json.getJsonObject("value").encode()));
-    } catch (DecodeException | ClassCastException | NullPointerException e) {
+          new PlatformObject(
+              new StorePosition(answer.era(), json.getLong("version")).toNumber(),
+              json.getJsonObject("value").encode()));
+    } catch (DecodeException
+        | ClassCastException
+        | NullPointerException
+        | IllegalArgumentException e) {
       return fail(Kind.BAD_ANSWER, "invalid answer from the platform: " + e.getMessage());
     }
   }
@@ -167,8 +223,12 @@
       return fail(Kind.BAD_ANSWER, "the platform answered with status " + answer.status());
     }
     try {
-      return Future.succeededFuture(new JsonObject(answer.body()).getLong("version"));
-    } catch (DecodeException | ClassCastException e) {
+      long version = new JsonObject(answer.body()).getLong("version");
+      return Future.succeededFuture(new StorePosition(answer.era(), version).toNumber());
+    } catch (DecodeException
+        | ClassCastException
+        | NullPointerException
+        | IllegalArgumentException e) {
       return fail(Kind.BAD_ANSWER, "invalid answer from the platform: " + e.getMessage());
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformEditor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformEditor.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.toucanmast.core.configuration.EditHistory;
 import org.toucanmast.runtime.platform.PlatformException.Kind;
 
 /**
@@ -40,6 +41,19 @@
     this.random = random;
   }
 
+  private static JsonArray editIds(String document) {
+    return new JsonObject(document).getJsonArray(EDIT_IDS, new JsonArray());
+  }
+
+  /**
+   * Returns the latest edits of a document.
+   *
+   * @throws io.vertx.core.json.DecodeException if the document is not a JSON object
+   */
+  public static EditHistory historyOf(String document) {
+    return new EditHistory(editIds(document).stream().map(String::valueOf).toList());
+  }
+
   /** Reads an object; one that does not exist has version 0 and the value {@code {}}. */
   public Future<PlatformObject> read(String kind, String name) {
     return client
@@ -62,8 +76,7 @@
    */
   public Future<Long> edit(
       String kind, String name, PlatformObject before, JsonObject value, String editId) {
-    JsonArray earlierIds = new JsonObject(before.value()).getJsonArray(EDIT_IDS, new JsonArray());
-    JsonArray ids = earlierIds.copy().add(editId);
+    JsonArray ids = editIds(before.value()).copy().add(editId);
     while (ids.size() > MAXIMUM_EDIT_IDS) {
       ids.remove(0);
     }
@@ -96,7 +109,7 @@
   }
 
   private Future<Long> resolveOutcome(Edit edit, PlatformObject object, int attempt) {
-    JsonArray ids = new JsonObject(object.value()).getJsonArray(EDIT_IDS, new JsonArray());
+    JsonArray ids = editIds(object.value());
     if (ids.contains(edit.id())) {
       return Future.succeededFuture(object.version());
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/FleetManager.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/FleetManager.java
@@ -21,6 +21,7 @@
 import org.toucanmast.core.membership.EpochPlanner;
 import org.toucanmast.core.membership.KeyTrustPolicy;
 import org.toucanmast.core.membership.Rendezvous;
+import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.core.text.InvalidTextException;
 import org.toucanmast.runtime.allowance.SharedAllowances;
 import org.toucanmast.runtime.group.DatabaseGroup;
@@ -28,6 +29,7 @@
 import org.toucanmast.runtime.membership.PeerState;
 import org.toucanmast.runtime.membership.PeerTable;
 import org.toucanmast.runtime.peer.PeerIdentity;
+import org.toucanmast.runtime.platform.PlatformEditor;
 import org.toucanmast.runtime.platform.PlatformListener;
 import org.toucanmast.runtime.platform.PlatformMonitor;
 import org.toucanmast.runtime.platform.PlatformVms;
@@ -117,7 +119,7 @@
 
   @Override
   public void onConfiguration(long revision, String value, long confirmedAt) {
-    if (!value.isEmpty() && revision > configuration.current().revision()) {
+    if (!value.isEmpty() && isNews(revision)) {
       apply(revision, value);
     }
     configuration.confirm(revision, confirmedAt);
@@ -162,7 +164,7 @@
   /** Pulls the configuration of a peer if its heartbeat reports a newer revision than this VM's. */
   void onHeartbeat(PeerIdentity peer, PeerHeartbeat heartbeat, long now) {
     long revision = heartbeat.getConfigurationRevision();
-    if (revision > configuration.current().revision() && revision != rejectedRevision) {
+    if (isNews(revision)) {
       sendPull(peer.name());
     }
     if (heartbeat.getConfigurationAge() >= 0) {
@@ -208,8 +210,36 @@
     }
   }
 
+  private boolean isNews(long revision) {
+    return revision > configuration.current().revision()
+        && revision != rejectedRevision
+        && !configuration.isKeptAgainst(revision);
+  }
+
+  /**
+   * Returns whether the platform was restored from a copy that shows an earlier state than the one
+   * in force. A key that was withdrawn since must not be accepted again.
+   */
+  private boolean isEarlierState(long revision, String document) {
+    long era = StorePosition.ofNumber(revision).era();
+    return era > StorePosition.ofNumber(configuration.current().revision()).era()
+        && configuration.isReady()
+        && PlatformEditor.historyOf(document)
+            .isBefore(PlatformEditor.historyOf(configurationDocument));
+  }
+
   private void apply(long revision, String document) {
     try {
+      if (isEarlierState(revision, document)) {
+        configuration.keepAgainst(revision);
+        log.log(
+            Level.ERROR,
+            "the platform was restored and shows an earlier configuration (revision {0}); the one"
+                + " in force (revision {1}) is kept: repeat the edits that the platform has lost",
+            revision,
+            configuration.current().revision());
+        return;
+      }
       FleetConfiguration compiled =
           ConfigurationCompiler.compile(
               ConfigurationText.ofJson(document), revision, "configuration/main@" + revision);
@@ -264,7 +294,7 @@
   /** Pulls a peer's newer configuration again, because an earlier push may have been lost. */
   private void retryPull(PeerState peer) {
     long revision = peer.newestHeartbeat().getConfigurationRevision();
-    if (revision > configuration.current().revision() && revision != rejectedRevision) {
+    if (isNews(revision)) {
       sendPull(peer.identity().name());
     }
   }
--- a/standin/src/main/java/org/toucanmast/standin/platform/ObjectStore.java
+++ b/standin/src/main/java/org/toucanmast/standin/platform/ObjectStore.java
@@ -19,6 +19,24 @@
   private final Map<String, VersionedObject> objects = new HashMap<>();
   private final Map<String, List<Runnable>> callbacksByPath = new HashMap<>();
   private long lastVersion;
+  private long era;
+
+  /** Returns the era, which rises each time the store is restored from a copy. */
+  long era() {
+    return era;
+  }
+
+  /** Returns a copy; running it restores the store, which forgets what was written since. */
+  Runnable copy() {
+    Map<String, VersionedObject> copiedObjects = new HashMap<>(objects);
+    long copiedVersion = lastVersion;
+    return () -> {
+      objects.clear();
+      objects.putAll(copiedObjects);
+      lastVersion = copiedVersion;
+      era++;
+    };
+  }
 
   Optional<VersionedObject> read(String path) {
     return Optional.ofNullable(objects.get(path));
--- a/standin/src/main/java/org/toucanmast/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/toucanmast/standin/platform/PlatformStandin.java
@@ -18,8 +18,9 @@
  * <p>Paths: {@code /objects/KIND/NAME} reads an object, watches it (with the query parameters
  * {@code after}, a version, and {@code wait}, in milliseconds) or updates it if it has the version
  * {@code expected}; {@code /vms} lists the VMs. For experiments, {@code PUT /control/fault} sets
- * the fault, {@code PUT /control/vms} the list of VMs, and {@code GET /control/calls} returns the
- * numbers of calls and writes.
+ * the fault, {@code PUT /control/vms} the list of VMs, {@code PUT /control/copy} takes a copy of
+ * the store, {@code PUT /control/restore} goes back to it, and {@code GET /control/calls} returns
+ * the numbers of calls and writes.
  */
 public final class PlatformStandin extends VerticleBase {
   private static final int MAXIMUM_VALUE_SIZE_IN_BYTES = 1_048_576;
@@ -27,6 +28,7 @@
   private final HostAndPort address;
   private final long listLagInMilliseconds;
   private final ObjectStore store = new ObjectStore();
+  private Runnable copy = () -> {};
   private JsonArray vms = new JsonArray();
   private PlatformFault fault = PlatformFault.NONE;
   private long delayInMilliseconds;
@@ -151,11 +153,11 @@
         new JsonObject().put("version", stored.version()).put("value", stored.value()));
   }
 
-  private static void answer(HttpServerRequest request, int status, JsonObject json) {
+  private void answer(HttpServerRequest request, int status, JsonObject json) {
     if (request.response().closed()) {
       return;
     }
-    request.response().setStatusCode(status);
+    request.response().setStatusCode(status).putHeader("Platform-Era", String.valueOf(store.era()));
     if (json == null || status == 304) {
       request.response().end();
     } else {
@@ -176,6 +178,14 @@
         vertx.setTimer(Math.max(1, listLagInMilliseconds), timerId -> vms = newVms);
         answer(request, 200, new JsonObject());
       }
+      case "/control/copy" -> {
+        copy = store.copy();
+        answer(request, 200, new JsonObject());
+      }
+      case "/control/restore" -> {
+        copy.run();
+        answer(request, 200, new JsonObject());
+      }
       case "/control/calls" ->
           answer(request, 200, new JsonObject().put("calls", calls).put("writes", writes));
       default -> answer(request, 404, new JsonObject());
