--- a/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
@@ -14,9 +14,10 @@
 /**
  * The objects of one kind: as the store has them, and as this VM takes them to be.
  *
- * <p>The two differ for a while after the store was restored from a copy. An object that the copy
- * lacks, or shows in an older state, is retained as it was known until its writer has written it
- * again; one whose deletion the copy lacks stays deleted. {@link #endRetention()} ends this.
+ * <p>The two differ for a while after the store was away or was restored from a copy. An object
+ * that it lacks, or shows in an older state, is retained as it was known until its writer has
+ * written it again; one whose deletion the copy lacks stays deleted. {@link #endRetention()} ends
+ * this.
  *
  * <p>Within an era the higher revision of an object counts; revisions of different eras are never
  * compared.
@@ -187,12 +188,14 @@
   }
 
   /**
-   * Takes over objects that a peer retains, also if this VM has started in the present era.
+   * Takes over objects that a peer retains, if this VM retains objects as well.
    *
    * @param changeTime the earliest time of an object's change, in milliseconds, by its name
    */
   public void retain(Collection<T> objects, ToLongFunction<String> changeTime) {
-    retaining = true;
+    if (!retaining) {
+      return;
+    }
     for (T object : objects) {
       T current = retained.get(object.name());
       if (current == null || isNewerContent(object, current)) {
@@ -202,6 +205,11 @@
     }
   }
 
+  /** Retains objects that the store lacks from now on, until the retention is ended. */
+  public void beginRetention() {
+    retaining = true;
+  }
+
   /** Lets the store's state count, also where it is older or lacks an object. */
   public void endRetention() {
     retaining = false;
--- a/core/src/main/java/org/toucanmast/core/mirror/Retention.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/Retention.java
@@ -1,35 +1,33 @@
 package org.toucanmast.core.mirror;
 
-import java.util.OptionalLong;
-
 /**
- * How long a mirror keeps what it knows from an earlier era of the store while the restored store
- * lacks it or shows an older state.
+ * How long a mirror keeps what it knows while the store lacks it or shows an older state, after the
+ * store was away or was restored from a copy.
  *
- * <p>Load pattern: the store comes back from a copy that is some seconds old. For a moment it shows
- * an older configuration, endpoints as ready that are leaving, and lacks others that are alive,
- * until their writers have written them again.
+ * <p>Load pattern: the store comes back from a copy that is some seconds old, or leases ran out
+ * while nobody could renew them. For a moment it shows an older configuration, endpoints as ready
+ * that are leaving, and lacks others that are alive, until their writers have written them again.
  */
 public enum Retention {
   /** What is newer is never given up; its writer writes it again, whenever that may be. */
   NEWEST {
     @Override
-    public boolean hasEnded(OptionalLong eraBeganAt, long now) {
-      return false;
+    public long endsAt(long returnedAt) {
+      return Long.MAX_VALUE;
     }
   },
   /** Objects whose writers write them again within seconds. */
   REWRITTEN {
     @Override
-    public boolean hasEnded(OptionalLong eraBeganAt, long now) {
-      return isOver(REWRITE_TIMEOUT_IN_MILLISECONDS, eraBeganAt, now);
+    public long endsAt(long returnedAt) {
+      return returnedAt + REWRITE_TIMEOUT_IN_MILLISECONDS;
     }
   },
   /** The entries of VMs, which know their own state and are found unreachable by other means. */
   MEMBERS {
     @Override
-    public boolean hasEnded(OptionalLong eraBeganAt, long now) {
-      return isOver(MEMBERS_TIMEOUT_IN_MILLISECONDS, eraBeganAt, now);
+    public long endsAt(long returnedAt) {
+      return returnedAt + MEMBERS_TIMEOUT_IN_MILLISECONDS;
     }
   };
 
@@ -40,15 +38,9 @@
   private static final long MEMBERS_TIMEOUT_IN_MILLISECONDS = 10_000;
 
   /**
-   * Returns whether the store's state counts although it is older or an object is missing.
+   * Returns from when on the store's state counts also where it is older or lacks an object.
    *
-   * @param eraBeganAt when the era began, in milliseconds; empty if it began before this VM knew
-   *     anything, so that writers have had their time
-   * @param now the current time, in milliseconds
+   * @param returnedAt when the store came back, in milliseconds
    */
-  public abstract boolean hasEnded(OptionalLong eraBeganAt, long now);
-
-  private static boolean isOver(long timeoutInMilliseconds, OptionalLong eraBeganAt, long now) {
-    return eraBeganAt.isEmpty() || now - eraBeganAt.getAsLong() >= timeoutInMilliseconds;
-  }
+  public abstract long endsAt(long returnedAt);
 }
--- a/core/src/test/java/org/toucanmast/core/mirror/RestoredMirrorsPropertyTest.java
+++ b/core/src/test/java/org/toucanmast/core/mirror/RestoredMirrorsPropertyTest.java
@@ -120,6 +120,7 @@
       } else {
         mirror.replaceAll(peer.mirror.storedObjects(), position, name -> 0);
       }
+      mirror.beginRetention();
       mirror.retain(peer.mirror.retainedObjects(), name -> 0);
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/MirrorMessages.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/MirrorMessages.java
@@ -16,7 +16,7 @@
 
 /** Encodes what VMs pass on of their mirrors, and decodes it. */
 final class MirrorMessages {
-  /** Revisions of retained objects are of various earlier eras, and are not compared. */
+  /** Revisions of retained objects may be of various earlier eras, and are not compared. */
   private static final long ERA_OF_RETAINED_OBJECTS = 0;
 
   private MirrorMessages() {}
@@ -39,6 +39,7 @@
       content.addObjects(encode(change.object(), update).setDeleted(change.deleted()));
     }
     update.retained().forEach(object -> content.addRetained(encode(object, update)));
+    content.setRetentionLeftInMilliseconds(update.retentionLeftInMilliseconds());
     return content.build();
   }
 
@@ -73,7 +74,8 @@
         new StorePosition(content.getEra(), content.getCompleteTo()),
         content.getChangedAt(),
         ages,
-        retained);
+        retained,
+        content.getRetentionLeftInMilliseconds());
   }
 
   private static StoredObject decode(MirrorObject item, long era) {
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -64,7 +64,8 @@
    * @param lastChange the revision of the latest change
    * @param maximumAges how long ago the store may have acknowledged the objects' changes, by the
    *     name of the object, in milliseconds; an object that is not named was changed just now
-   * @param retained objects of earlier eras that the store lacks or has in an older state
+   * @param retained objects that the store lacks or has in an older state
+   * @param retentionLeftInMilliseconds for how long they are still retained
    */
   public record Update(
       Optional<Long> since,
@@ -72,7 +73,8 @@
       StorePosition completeTo,
       long lastChange,
       Map<String, Long> maximumAges,
-      List<StoredObject> retained) {}
+      List<StoredObject> retained,
+      long retentionLeftInMilliseconds) {}
 
   /** What the mirrors of a VM share. */
   public record Environment(
@@ -99,6 +101,7 @@
   private final StoreListener storeListener;
   private final MirroredObjects<StoredObject> objects;
   private final StoreWatch watch;
+  private long retentionEndsAt = Long.MIN_VALUE;
 
   /**
    * Creates an empty mirror that makes no calls until it is started.
@@ -139,6 +142,11 @@
         storeListener.onMirrorChanged();
       }
 
+      @Override
+      public void onStoreReturned() {
+        retainUntil(kind.retention().endsAt(environment.clock().now()));
+      }
+
       @Override
       public void onChanges(ObjectStore.Changes changes, boolean waited) {
         long changeTime = waited ? environment.clock().now() : earliestChange();
@@ -183,22 +191,27 @@
     watch.onNewEra();
   }
 
-  /** Ends the retention of objects of earlier eras when its time is over. */
+  /** Ends the retention of objects that the store lacks when its time is over. */
   public void updateRetention() {
-    if (objects.isRetaining() && hasRetentionEnded()) {
-      environment.log().log(
-          EventKind.DEPENDENCY,
-          "objects of earlier eras no longer retained",
-          "objects",
-          kind.name(),
-          "retained",
-          objects.retainedObjects().size());
+    if (objects.isRetaining() && environment.clock().now() >= retentionEndsAt) {
+      if (!objects.retainedObjects().isEmpty()) {
+        environment.log().log(
+            EventKind.DEPENDENCY,
+            "objects that the store lacks no longer retained",
+            "objects",
+            kind.name(),
+            "retained",
+            objects.retainedObjects().size());
+      }
       objects.endRetention();
     }
   }
 
-  private boolean hasRetentionEnded() {
-    return kind.retention().hasEnded(environment.era().beganAt(), environment.clock().now());
+  private void retainUntil(long endsAt) {
+    retentionEndsAt = Math.max(retentionEndsAt, endsAt);
+    if (environment.clock().now() < retentionEndsAt) {
+      objects.beginRetention();
+    }
   }
 
   /**
@@ -218,6 +231,7 @@
       return;
     }
     objects.restart(all, position, changeTime);
+    environment.era().beganAt().ifPresent(began -> retainUntil(kind.retention().endsAt(began)));
     environment.log().log(
         EventKind.DEPENDENCY,
         "store was restored",
@@ -270,7 +284,8 @@
         objects.completeTo(),
         objects.lastChange().revision(),
         maximumAges(),
-        List.copyOf(objects.retainedObjects()));
+        List.copyOf(objects.retainedObjects()),
+        Math.max(0, retentionEndsAt - environment.clock().now()));
   }
 
   private List<ObjectStore.Change> storedObjects() {
@@ -298,6 +313,9 @@
     }
     long now = environment.clock().now();
     ToLongFunction<String> changeTime = name -> now - update.maximumAges().getOrDefault(name, 0L);
+    if (!update.retained().isEmpty()) {
+      retainUntil(endOf(update.retentionLeftInMilliseconds(), now));
+    }
     StorePosition before = objects.lastChange();
     StorePosition last = new StorePosition(update.completeTo().era(), update.lastChange());
     if (last.isAfter(before) || update.completeTo().isAfter(objects.completeTo())) {
@@ -306,12 +324,14 @@
       }
       objects.advanceLastChange(update.lastChange());
     }
-    if (!update.retained().isEmpty() && !hasRetentionEnded()) {
-      objects.retain(update.retained(), changeTime);
-    }
+    objects.retain(update.retained(), changeTime);
     return objects.lastChange().isAfter(before);
   }
 
+  private static long endOf(long leftInMilliseconds, long now) {
+    return leftInMilliseconds < Long.MAX_VALUE - now ? now + leftInMilliseconds : Long.MAX_VALUE;
+  }
+
   /** Returns whether the update follows what this VM knows, and was taken over. */
   private boolean takeOverNews(Update update, ToLongFunction<String> changeTime) {
     if (update.since().isEmpty()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
@@ -47,6 +47,9 @@
     void onObjects(
         Collection<StoredObject> all, StorePosition position, boolean current, boolean wentBack);
 
+    /** The store answers again after it did not; leases may have run out meanwhile. */
+    void onStoreReturned();
+
     /**
      * A watch was answered.
      *
@@ -350,6 +353,9 @@
     failures = 0;
     if (!available) {
       available = true;
+      if (isLoaded()) {
+        answers.onStoreReturned();
+      }
       log.log(
           EventKind.DEPENDENCY,
           "store available",
