--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -164,7 +164,7 @@
                 (body == null ? request.send() : request.send(Buffer.buffer(body)))
                     .compose(
                         response ->
-                            response.body().map(text -> toAnswer(response, text.toString()))))
+                            response.body().compose(text -> toAnswer(response, text.toString()))))
         .recover(
             cause -> {
               failures.increment();
@@ -172,8 +172,11 @@
             });
   }
 
-  /** Takes over the era that an answer reports; the last one holds if it reports none. */
-  private Answer toAnswer(HttpClientResponse response, String body) {
+  /**
+   * Takes over the era that an answer reports; the last one holds if it reports none. An answer of
+   * an earlier era has arrived late, or comes from a part of the platform that lags behind.
+   */
+  private Future<Answer> toAnswer(HttpClientResponse response, String body) {
     long era = lastEra;
     String reported = response.getHeader(ERA_HEADER);
     if (reported != null) {
@@ -187,7 +190,9 @@
       log.log(Level.WARNING, "the platform is in era {0}, before in era {1}", era, lastEra);
       lastEra = era;
     }
-    return new Answer(response.statusCode(), body, era);
+    return era < lastEra
+        ? fail(Kind.NO_ANSWER, "expected era " + lastEra + " but the answer is of era " + era)
+        : Future.succeededFuture(new Answer(response.statusCode(), body, era));
   }
 
   private static <T> Future<T> fail(Kind kind, String message) {
--- a/standin/src/test/java/org/toucanmast/standin/platform/RestoredPlatformTest.java
+++ b/standin/src/test/java/org/toucanmast/standin/platform/RestoredPlatformTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -18,6 +19,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -173,4 +175,25 @@
         .hasMessageContaining("restored");
     assertThat(await(client.read("configuration", "main")).value()).contains("written again");
   }
+
+  @Test
+  void should_pause_between_calls_when_the_platform_answers_in_an_earlier_era() throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    HttpServer server =
+        await(
+            vertx
+                .createHttpServer()
+                .requestHandler(
+                    request ->
+                        request
+                            .response()
+                            .putHeader("Platform-Era", calls.incrementAndGet() == 1 ? "2" : "1")
+                            .end("{\"version\": 5, \"value\": {}}"))
+                .listen(0, "127.0.0.1"));
+    address = "127.0.0.1:" + server.actualPort();
+    startMonitor();
+
+    Thread.sleep(2_000);
+    assertThat(calls.get()).isLessThan(40);
+  }
 }
