Spread the registrations of a large fleet whose entries the store has lost

The delay was up to 600 ms whatever the size: 3,900 VMs would have made 6,500 writes a second on a store that takes several hundred. RegistrationDelay in core gives 500 a second above 300 VMs and the same 600 ms below, so that the fleets of the present sites do as before.

--- a/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/FleetRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.toucanmast.core.membership.RegistrationDelay;
 import org.toucanmast.core.mirror.ContentVersion;
 import org.toucanmast.core.mirror.StorePosition;
 import org.toucanmast.runtime.clock.VmClock;
@@ -30,12 +31,6 @@
   /** The kind of the objects that register VMs. */
   static final String KIND = "toucanmast-vms";
 
-  /**
-   * Time over which the VMs of a fleet register again after the store has lost their objects, so
-   * that they do not all write to it at the same moment.
-   */
-  private static final int REGISTRATION_SPREAD_IN_MILLISECONDS = 600;
-
   /** Delay before a failed registration is retried. */
   private static final long RETRY_DELAY_IN_MILLISECONDS = 500;
 
@@ -118,8 +113,7 @@
   public void onObjectOutdatedInStore(String name) {
     if (name.equals(self.name())) {
       log.log(EventKind.MEMBERSHIP, "own entry lost by the store; registering again");
-      int delay = 1 + Math.floorMod(name.hashCode(), REGISTRATION_SPREAD_IN_MILLISECONDS);
-      vertx.setTimer(delay, fired -> register());
+      vertx.setTimer(RegistrationDelay.inMilliseconds(name, members.size()), fired -> register());
     }
   }
 
