--- a/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
@@ -183,7 +183,7 @@
       stored.put(object.name(), object);
       advanceLastChange(object.revision());
     }
-    names.forEach(name -> update(name, changeTime));
+    names.forEach(name -> report(name, changeTime));
     List.copyOf(retained.keySet()).forEach(listener::onObjectOutdatedInStore);
   }
 
@@ -200,7 +200,7 @@
       T current = retained.get(object.name());
       if (current == null || isNewerContent(object, current)) {
         retained.put(object.name(), object);
-        update(object.name(), changeTime);
+        report(object.name(), changeTime);
       }
     }
   }
@@ -218,7 +218,7 @@
     retained.clear();
     deletedBeforeRestore.clear();
     Map<String, Long> times = changeTimes();
-    names.forEach(name -> update(name, changed -> times.getOrDefault(changed, 0L)));
+    names.forEach(name -> report(name, changed -> times.getOrDefault(changed, 0L)));
   }
 
   /**
@@ -256,7 +256,7 @@
       stored.put(object.name(), object);
       deleted.remove(object.name());
       advanceLastChange(object.revision());
-      update(object.name(), changeTime);
+      report(object.name(), changeTime);
     }
   }
 
@@ -269,10 +269,11 @@
     } else if (!retaining) {
       deleted.put(name, removed);
     }
-    update(name, ignored -> 0);
+    report(name, ignored -> 0);
   }
 
-  private void update(String name, ToLongFunction<String> changeTime) {
+  /** Tells the listener what this VM takes an object to be, if that has changed. */
+  private void report(String name, ToLongFunction<String> changeTime) {
     T current = stored.get(name);
     T former = retained.get(name);
     if (former != null && current != null && !isNewerContent(former, current)) {
--- a/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/FleetSteps.java
@@ -199,6 +199,16 @@
     fleet.control().setFault(fleet.platformAddress(), fault, 1_500);
   }
 
+  @When("a copy of the platform is taken")
+  public void copyPlatform() throws IOException {
+    fleet.control().copy(fleet.platformAddress());
+  }
+
+  @When("the platform is restored from the copy")
+  public void restorePlatform() throws IOException {
+    fleet.control().restore(fleet.platformAddress());
+  }
+
   @When("VM {word} is killed")
   public void killVm(String vm) {
     fleet.vms().get(vm).process().kill();
--- a/integration-tests/src/test/resources/features/operations.feature
+++ b/integration-tests/src/test/resources/features/operations.feature
@@ -99,6 +99,35 @@
     And customer bench-1 is not served later than 3000 ms after the mark
     And customer bench-2 is served after the mark
 
+  Scenario: a key is withdrawn after the platform was restored from a copy
+    Given the lentes deployment with 3 VMs
+    And the fleet runs
+    When load runs for 9 s at 50 percent of the rates
+    And 1000 ms pass
+    And a copy of the platform is taken
+    And an operator runs: endpoint take-out stock-3
+    And 1000 ms pass
+    And the platform is restored from the copy
+    And an operator runs: key withdraw bench-1 b6904eae3cb8
+    And now is marked
+    Then the load ends
+    And customer bench-1 is not served later than 3000 ms after the mark
+    And customer bench-2 is served after the mark
+
+  Scenario: a withdrawn key is not accepted again after the platform was restored from a copy
+    Given the lentes deployment with 3 VMs
+    And the fleet runs
+    When load runs for 9 s at 50 percent of the rates
+    And 1000 ms pass
+    And a copy of the platform is taken
+    And an operator runs: key withdraw bench-1 b6904eae3cb8
+    And now is marked
+    And 2000 ms pass
+    And the platform is restored from the copy
+    Then the load ends
+    And customer bench-1 is not served later than 3000 ms after the mark
+    And customer bench-2 is served after the mark
+
   Scenario: the platform is down for all and the last revision stays in force
     Given the lentes deployment with 3 VMs
     And the fleet runs
--- a/standin/src/main/java/org/toucanmast/standin/fleet/ControlClient.java
+++ b/standin/src/main/java/org/toucanmast/standin/fleet/ControlClient.java
@@ -38,6 +38,16 @@
             .encode());
   }
 
+  /** Takes a copy of the platform's objects, to which it can be restored. */
+  public void copy(String platform) throws IOException {
+    put(platform, "/control/copy", "{}");
+  }
+
+  /** Restores the platform from the last copy; it then begins a new era. */
+  public void restore(String platform) throws IOException {
+    put(platform, "/control/restore", "{}");
+  }
+
   /** Replaces the platform's list of VMs; the platform shows the new list after its list lag. */
   public void setVms(String platform, JsonArray vms) throws IOException {
     put(platform, "/control/vms", vms.encode());
