--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -85,7 +85,7 @@
    *
    * @param name the name of the kind in the store
    * @param timing how long one watch waits, and after what time a silent one has failed
-   * @param retention how long objects are retained after the store was restored
+   * @param retention how long objects are retained after the store was away or was restored
    * @param contentVersion the version in an object's content; empty if it has none
    */
   public record Kind(
@@ -231,7 +231,9 @@
       return;
     }
     objects.restart(all, position, changeTime);
-    environment.era().beganAt().ifPresent(began -> retainUntil(kind.retention().endsAt(began)));
+    long now = environment.clock().now();
+    long returnedAt = wentBack ? now : environment.era().beganAt().orElse(now);
+    retainUntil(kind.retention().endsAt(returnedAt));
     environment.log().log(
         EventKind.DEPENDENCY,
         "store was restored",
@@ -312,6 +314,9 @@
       return false;
     }
     long now = environment.clock().now();
+    if (environment.era().onAnswer(update.completeTo().era(), now)) {
+      storeListener.onNewEra();
+    }
     ToLongFunction<String> changeTime = name -> now - update.maximumAges().getOrDefault(name, 0L);
     if (!update.retained().isEmpty()) {
       retainUntil(endOf(update.retentionLeftInMilliseconds(), now));
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -398,6 +398,20 @@
     assertThat(mirror.lastChange()).isEqualTo(new StorePosition(1, 20));
   }
 
+  @Test
+  void should_keep_an_object_that_the_objects_of_a_later_era_from_a_peer_lack() {
+    mirror.start();
+    era.onAnswer(0, now);
+    mirror.onUpdate(snapshot(90, object("a", 90)));
+    mirror.onUpdate(
+        new KindMirror.Update(
+            Optional.empty(), List.of(), new StorePosition(1, 30), 20, Map.of(), List.of(), 0));
+    mirror.updateRetention();
+
+    assertThat(era.number()).isEqualTo(1);
+    assertThat(notifications).containsExactly("+a");
+  }
+
   @Test
   void should_keep_an_object_whose_lease_ran_out_while_the_store_was_away() {
     StoredObject alive = store.put("kind", "a", new JsonObject());
