Review case 2: connections that go silent fill the pools of a gateway for good

Cause: probes, polls and rollbacks take connections without a timeout, so that a connection that goes silent under one of them stays busy for ever and counts towards the endpoint's budget.

--- a/review/standin/review/SilenceCase.java
+++ b/review/standin/review/SilenceCase.java
@@ -11,10 +11,13 @@
  * work. From recovery_s after the last time on, at least a quarter of the requests must be served.
  */
 final class SilenceCase {
-  private static final int SESSIONS_PER_VM = 8;
+  private static final int SESSIONS_PER_VM = 6;
+  private static final int TRANSACTIONS_PER_VM = 6;
+  private static final int REST_IN_MILLISECONDS = 1_500;
   private static final int PAUSE_IN_MILLISECONDS = 100;
-  private static final int TIMES = 11;
-  private static final double GAP_IN_MILLISECONDS = 5_000;
+  private static final int TIMES = 4;
+  private static final double FIRST_IN_MILLISECONDS = 15_000;
+  private static final double GAP_IN_MILLISECONDS = 6_000;
   private static final double RECOVERY_IN_MILLISECONDS = 12_000;
   private static final double MEASURED_IN_MILLISECONDS = 12_000;
 
@@ -44,7 +47,7 @@
     }
     deployment.start();
     double start = Recorder.now();
-    double lastFaultAt = start + TIMES * GAP_IN_MILLISECONDS;
+    double lastFaultAt = start + FIRST_IN_MILLISECONDS + (TIMES - 1) * GAP_IN_MILLISECONDS;
     double recoveredAt = lastFaultAt + RECOVERY_IN_MILLISECONDS;
     double end = recoveredAt + MEASURED_IN_MILLISECONDS;
     Span before = new Span();
@@ -56,9 +59,14 @@
         Endpoint.daemon(
             () -> load(deployment, vm, name, writes, lastFaultAt, recoveredAt, end, before, after));
       }
+      for (int session = 0; session < TRANSACTIONS_PER_VM; session++) {
+        String name = vm.name + "/transaction" + session;
+        boolean readOnly = session % 2 == 0;
+        Endpoint.daemon(() -> rest(deployment, vm, name, readOnly, end));
+      }
     }
-    for (int time = 1; time <= TIMES; time++) {
-      Deployment.sleepUntil(start + time * GAP_IN_MILLISECONDS);
+    for (int time = 0; time < TIMES; time++) {
+      Deployment.sleepUntil(start + FIRST_IN_MILLISECONDS + time * GAP_IN_MILLISECONDS);
       if (deployment.trouble) {
         int count = 0;
         for (SilencingProxy proxy : proxies) {
@@ -78,6 +86,29 @@
     deployment.finish(before.sent.get() > 500 && after.sent.get() > 20);
   }
 
+  /** Reads once in each transaction, rests, and rolls back. */
+  private static void rest(
+      Deployment deployment, Fleet.Vm vm, String name, boolean readOnly, double end) {
+    while (Recorder.now() < end) {
+      try (Client client = new Client(name, vm, 10_000, deployment.recorder)) {
+        client.open(
+            readOnly ? Deployment.BOUNDED_DATABASE : Deployment.PRIMARY_DATABASE, Deployment.KEY);
+        while (Recorder.now() < end) {
+          client.query(readOnly ? "BEGIN READ" : "BEGIN");
+          client.query("READ item");
+          Thread.sleep(REST_IN_MILLISECONDS);
+          client.query("ROLLBACK");
+          Thread.sleep(PAUSE_IN_MILLISECONDS);
+        }
+      } catch (IOException e) {
+        deployment.recorder.log("%s: %s", name, e.getMessage());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
   private static void load(
       Deployment deployment,
       Fleet.Vm vm,
