--- a/review/standin/review/SyncCase.java
+++ b/review/standin/review/SyncCase.java
@@ -22,7 +22,7 @@
     AtomicInteger acknowledged = new AtomicInteger();
     deployment.start();
     double start = Recorder.now();
-    double end = start + 20_000;
+    double end = start + 8_000 + DEAF_FOR_MILLISECONDS;
     for (int session = 0; session < WRITERS; session++) {
       Fleet.Vm vm = deployment.fleet.vms.get(session % deployment.fleet.vms.size());
       String name = vm.name + "/writer" + session;
