Take no COMMIT that wrote nothing for a proof of the primary

Cause: any successful statement of a transaction that needs the primary counted as a proof that the endpoint is the primary. A former primary answers the COMMIT of a plain transaction that has written nothing; its old log entered the position history with a new age, and kept the history so young that the primary was not probed.

Ruled out: old true observations, positions of replicas, clocks. Not shared by the HTTP interface, whose positions come from rounds that a majority confirms (by reading).

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -87,11 +87,7 @@
     attempt.pool().serviceTimes().observe(now - attempt.sentAt());
     attempt.pool().learned().ifPresent(limit -> learn(limit, attempt, reply, now));
     StatementRequest request = attempt.statement().request();
-    boolean provesPrimary =
-        reply.isSuccess()
-            && (attempt.isWrapped()
-                || request.operation() == Operation.WRITE
-                || request.operation().inTransaction() && attempt.statement().needsPrimary());
+    boolean provesPrimary = reply.isSuccess() && attempt.scope().provesPrimary(request.operation());
     primaryMonitor.onReply(attempt.pool(), reply, attempt.startedAt(), provesPrimary);
     if (reply.code() == ResultCode.NO_STATEMENT) {
       attempt.connection().clearPreparedStatements();
@@ -184,6 +180,7 @@
       return;
     }
     OpenTransaction transaction = existing.orElseGet(() -> registerTransaction(attempt, now));
+    transaction.setScope(attempt.scope().after(request.operation()));
     transaction.setRunning(false, now);
     statement.finish(StatementResult.of(reply, transaction.handle()));
   }
@@ -202,6 +199,7 @@
             attempt.statement().origin(),
             attempt.pool(),
             attempt.connection(),
+            attempt.scope(),
             now);
     transactions.add(opened);
     return opened;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -203,8 +203,7 @@
       rollBack(transaction);
       statement.finish(StatementResult.emptySuccess());
     } else if (transaction.pool().hasSlot()) {
-      startAttempt(
-          statement, transaction.pool(), transaction.connection(), Optional.empty(), false);
+      startInTransaction(statement, transaction);
     } else {
       transactions.addWaiting(statement);
     }
@@ -238,13 +237,7 @@
         statement.fail(ResultCode.ABORTED, "the transaction is no longer open");
       } else if (transaction.get().pool().hasSlot()) {
         transactions.removeWaiting(statement);
-        OpenTransaction openTransaction = transaction.get();
-        startAttempt(
-            statement,
-            openTransaction.pool(),
-            openTransaction.connection(),
-            Optional.empty(),
-            false);
+        startInTransaction(statement, transaction.get());
       }
     }
   }
@@ -343,20 +336,34 @@
       queues.add(statement);
       return;
     }
-    startAttempt(statement, pool, connection.get(), minimumPosition, wrapped);
+    long now = context.clock().now();
+    startAttempt(
+        new StatementAttempt(
+            statement,
+            pool,
+            connection.get(),
+            minimumPosition,
+            wrapped,
+            Optional.empty(),
+            now,
+            resultHandler));
   }
 
-  private void startAttempt(
-      PendingStatement statement,
-      EndpointPool pool,
-      EndpointConnection connection,
-      Optional<Position> minimumPosition,
-      boolean wrapped) {
-    long now = context.clock().now();
-    statement.onAttemptStarted(pool.entry().id(), now);
-    StatementAttempt attempt =
+  private void startInTransaction(PendingStatement statement, OpenTransaction transaction) {
+    startAttempt(
         new StatementAttempt(
-            statement, pool, connection, minimumPosition, wrapped, now, resultHandler);
+            statement,
+            transaction.pool(),
+            transaction.connection(),
+            Optional.empty(),
+            false,
+            Optional.of(transaction),
+            context.clock().now(),
+            resultHandler));
+  }
+
+  private void startAttempt(StatementAttempt attempt) {
+    attempt.statement().onAttemptStarted(attempt.pool().entry().id(), attempt.startedAt());
     runningAttempts.add(attempt);
     attempt.start();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransaction.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransaction.java
@@ -1,5 +1,6 @@
 package org.toucanmast.runtime.gateway;
 
+import org.toucanmast.core.failover.TransactionScope;
 import org.toucanmast.core.membership.VmRun;
 
 /** A transaction that is open on a connection to an endpoint. */
@@ -8,15 +9,22 @@
   private final VmRun origin;
   private final EndpointPool pool;
   private final EndpointConnection connection;
+  private TransactionScope scope;
   private long idleSince;
   private boolean running;
 
   OpenTransaction(
-      long handle, VmRun origin, EndpointPool pool, EndpointConnection connection, long now) {
+      long handle,
+      VmRun origin,
+      EndpointPool pool,
+      EndpointConnection connection,
+      TransactionScope scope,
+      long now) {
     this.handle = handle;
     this.origin = origin;
     this.pool = pool;
     this.connection = connection;
+    this.scope = scope;
     this.idleSince = now;
   }
 
@@ -36,6 +44,15 @@
     return connection;
   }
 
+  /** Returns what a successful reply to the next statement proves of the endpoint. */
+  TransactionScope scope() {
+    return scope;
+  }
+
+  void setScope(TransactionScope newScope) {
+    scope = newScope;
+  }
+
   void setRunning(boolean newRunning, long now) {
     running = newRunning;
     idleSince = now;
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.toucanmast.core.failover.TransactionScope;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.statement.EndpointCommand;
@@ -61,6 +62,7 @@
   private final ResultHandler resultHandler;
   private final Optional<Position> minimumPosition;
   private final boolean wrapped;
+  private final TransactionScope scope;
   private final long startedAt;
   private final boolean mayWaitForPosition;
   private int concurrency;
@@ -76,6 +78,7 @@
    *
    * @param minimumPosition the position that the endpoint's log must hold
    * @param wrapped whether the read is wrapped in a transaction of the gateway
+   * @param transaction the open transaction that the statement continues
    */
   StatementAttempt(
       PendingStatement statement,
@@ -83,6 +86,7 @@
       EndpointConnection connection,
       Optional<Position> minimumPosition,
       boolean wrapped,
+      Optional<OpenTransaction> transaction,
       long now,
       ResultHandler resultHandler) {
     this.statement = statement;
@@ -90,6 +94,7 @@
     this.connection = connection;
     this.minimumPosition = minimumPosition;
     this.wrapped = wrapped;
+    this.scope = transaction.map(OpenTransaction::scope).orElseGet(this::initialScope);
     this.startedAt = now;
     this.mayWaitForPosition =
         minimumPosition.isPresent() && !pool.lag().hasConfirmed(minimumPosition.get());
@@ -103,9 +108,10 @@
     StatementRequest request = statement.request();
     List<EndpointCommand> commands =
         new ArrayList<>(connection.alignSession(request.values(), request.prepared()));
-    if (wrapped || request.beginsTransaction()) {
+    if (beginsTransaction()) {
       stage = Stage.BEGINNING;
-      commands.add(new EndpointCommand.Begin(beginsReadOnly(), minimumPosition));
+      boolean readOnly = scope == TransactionScope.READ_ONLY;
+      commands.add(new EndpointCommand.Begin(readOnly, minimumPosition));
     } else {
       commands.add(statementCommand(minimumPosition));
       window = resultHandler.onSent(this);
@@ -114,8 +120,14 @@
     connection.exchange(commands, this);
   }
 
-  private boolean beginsReadOnly() {
-    return !wrapped && !statement.needsPrimary();
+  private boolean beginsTransaction() {
+    return wrapped || statement.request().beginsTransaction();
+  }
+
+  private TransactionScope initialScope() {
+    return beginsTransaction()
+        ? TransactionScope.begun(!wrapped && !statement.needsPrimary())
+        : TransactionScope.NONE;
   }
 
   private EndpointCommand statementCommand(Optional<Position> position) {
@@ -215,6 +227,11 @@
     return wrapped;
   }
 
+  /** Returns the transaction at the endpoint in which the statement runs. */
+  TransactionScope scope() {
+    return scope;
+  }
+
   boolean isEnded() {
     return stage == Stage.ENDED;
   }
