Promote only endpoints that have received all acknowledged commits

Cause: Succession dropped leaving endpoints before it compared positions, and the configuration's sync_replicas was not read. The log line "considered" showed both positions and the wrong successor.

Change: where commits wait for replicas, SynchronousSuccession promotes only an endpoint that has received every acknowledged commit, leaving or not; silent and departed replicas may hold commits that no candidate has. Writes are held back from a working primary while it is replaced (WriteHold). The replacement moves from PrimaryMonitor to PrimaryReplacement. Groups without synchronous replicas choose as before.

--- a/core/src/main/java/org/toucanmast/core/statement/Operation.java
+++ b/core/src/main/java/org/toucanmast/core/statement/Operation.java
@@ -28,6 +28,11 @@
     return inTransaction;
   }
 
+  /** Returns whether the operation can commit a change of the data. */
+  public boolean mayCommit() {
+    return this == WRITE || this == COMMIT;
+  }
+
   /**
    * Returns the result of an operation that was sent and whose answer was lost: {@link
    * ResultCode#ABORTED} when it cannot have had a lasting effect, {@link ResultCode#IN_DOUBT}
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -244,6 +244,12 @@
     return limits == null ? DEFAULT_MAXIMUM_CONNECTIONS : limits.maximumConnections();
   }
 
+  /** Returns the number of replicas that have received a commit before it is acknowledged. */
+  int synchronousReplicas(String group) {
+    GroupLimits limits = catalog.groups().get(group);
+    return limits == null ? 0 : limits.synchronousReplicas();
+  }
+
   long idleTransactionTimeoutMilliseconds() {
     return catalog.idleTransactionInMilliseconds();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -60,7 +60,8 @@
   public GroupGateway(GatewayContext context, String group) {
     this.context = context;
     this.group = group;
-    this.primaryMonitor = new PrimaryMonitor(context, group, pools, history, this::dispatch);
+    this.primaryMonitor =
+        new PrimaryMonitor(context, group, pools, history, this::hasRunningWrites, this::dispatch);
     this.queues = new StatementQueues(context, pools, primaryMonitor);
     this.waitingStatements = new WaitingStatements(transactions, queues, this::rollBack);
     this.overdueAttempts = new OverdueAttempts(context, queues, retryBudget);
@@ -202,13 +203,17 @@
     if (statement.request().operation() == Operation.ROLLBACK) {
       rollBack(transaction);
       statement.finish(StatementResult.emptySuccess());
-    } else if (transaction.pool().hasSlot()) {
+    } else if (primaryMonitor.mayContinue(transaction, statement.request())) {
       startInTransaction(statement, transaction);
     } else {
       transactions.addWaiting(statement);
     }
   }
 
+  private boolean hasRunningWrites(EndpointPool pool) {
+    return runningAttempts.stream().anyMatch(attempt -> attempt.mayCommitAt(pool));
+  }
+
   /** Starts the waiting statements that can be started. */
   void dispatch() {
     if (dispatching || closed || waitingStatements.refuseAll()) {
@@ -235,7 +240,7 @@
       if (transaction.isEmpty()) {
         transactions.removeWaiting(statement);
         statement.fail(ResultCode.ABORTED, "the transaction is no longer open");
-      } else if (transaction.get().pool().hasSlot()) {
+      } else if (primaryMonitor.mayContinue(transaction.get(), statement.request())) {
         transactions.removeWaiting(statement);
         startInTransaction(statement, transaction.get());
       }
@@ -244,10 +249,7 @@
 
   private void dispatchToPrimary(long now) {
     while (queues.hasStatementsForPrimary()) {
-      Optional<EndpointPool> primary =
-          primaryMonitor
-              .primary()
-              .filter(pool -> pool.acceptsPrimaryWork(now) && pool.canStart(now));
+      Optional<EndpointPool> primary = primaryMonitor.primaryThatCanStart(now);
       if (primary.isEmpty()) {
         return;
       }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/ObjectiveScheduler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/ObjectiveScheduler.java
@@ -128,7 +128,7 @@
     double outage = primaryMonitor.expectedOutageMilliseconds(now);
     if (statement.needsPrimary()) {
       Optional<EndpointPool> primary = primaryMonitor.primary();
-      boolean free = usablePrimary(now).isPresent();
+      boolean free = primaryMonitor.primaryThatCanStart(now).isPresent();
       int slots = primary.map(pool -> pool.usableSlots(now)).orElse(0);
       double service =
           primary.map(pool -> pool.serviceTimes().mean()).orElse(serviceMilliseconds());
@@ -151,12 +151,6 @@
         onlyPrimary ? ReadDecision.millisecondsUntilReplica(options) : Double.POSITIVE_INFINITY);
   }
 
-  private Optional<EndpointPool> usablePrimary(long now) {
-    return primaryMonitor
-        .primary()
-        .filter(pool -> pool.acceptsPrimaryWork(now) && pool.canStart(now));
-  }
-
   private int runningAtPrimary() {
     EndpointPool primary = primaryMonitor.primary().orElse(null);
     int running = 0;
@@ -185,7 +179,7 @@
       }
       chosenPool = Optional.empty();
       chosenPosition = Optional.empty();
-      Optional<EndpointPool> primary = usablePrimary(now);
+      Optional<EndpointPool> primary = primaryMonitor.primaryThatCanStart(now);
       Optional<PendingStatement> next =
           schedule.take(primary.isPresent(), read -> decide(read, now), serviceMilliseconds(), now);
       if (next.isEmpty()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -6,18 +6,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.toucanmast.core.catalog.EndpointEntry;
-import org.toucanmast.core.failover.OrderPermission;
 import org.toucanmast.core.failover.OutageEstimate;
 import org.toucanmast.core.failover.PrimaryTracker;
-import org.toucanmast.core.failover.Succession;
 import org.toucanmast.core.freshness.PositionHistory;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.ResultCode;
+import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.runtime.events.EventKind;
-import org.toucanmast.runtime.port.PromotionOrders;
 
 /**
  * Tracks the primary of a group and its log position, and replaces a primary that is lost or
@@ -48,12 +47,6 @@
   /** A promotion begins when no primary has been known for this long. */
   private static final long NO_PRIMARY_TIMEOUT_IN_MILLISECONDS = 500;
 
-  /** A promotion is ordered again when the previous order has had no effect for this long. */
-  private static final long PROMOTION_TIMEOUT_IN_MILLISECONDS = 2_500;
-
-  /** Delay before the next poll when no promotion could be ordered, in milliseconds. */
-  private static final long PROMOTION_RETRY_DELAY_IN_MILLISECONDS = 200;
-
   /**
    * Assumed time from a promotion order to the first reply of the new primary, before the first
    * sample.
@@ -74,36 +67,44 @@
   private final PrimaryTracker primaryTracker = new PrimaryTracker();
   private final Map<String, Long> probeSentAt = new HashMap<>();
   private final Set<String> unansweredProbes = new HashSet<>();
-  private final CandidatePoll poll;
-  private final OrderPermission permission = new OrderPermission();
+  private final PrimaryReplacement replacement;
   private Optional<String> lastPrimary = Optional.empty();
   private long noPrimarySince = Long.MAX_VALUE;
   private long outageSince = Long.MAX_VALUE;
-  private long ordersPausedUntil = Long.MIN_VALUE;
-  private long orderedAt = Long.MAX_VALUE;
   private double failoverTimeMilliseconds = INITIAL_FAILOVER_TIME_IN_MILLISECONDS;
 
+  /**
+   * Creates a monitor of a group.
+   *
+   * @param hasRunningWrites tells whether writes or commits are running at an endpoint
+   * @param onUpdate called when statements may be started that could not be started before
+   */
   PrimaryMonitor(
       GatewayContext context,
       String group,
       Map<String, EndpointPool> pools,
       PositionHistory history,
+      Predicate<EndpointPool> hasRunningWrites,
       Runnable onUpdate) {
     this.context = context;
     this.group = group;
     this.pools = pools;
     this.history = history;
     this.onUpdate = onUpdate;
-    this.poll = new CandidatePoll(context, pools);
+    this.replacement =
+        new PrimaryReplacement(
+            context, group, pools, pool -> probe(pool, context.clock().now()), hasRunningWrites);
   }
 
   void onEndpointUpdated(EndpointEntry entry) {
     primaryTracker.onEntry(entry);
+    replacement.onEndpointUpdated(entry);
     updatePrimary();
   }
 
   void onEndpointRemoved(String endpointId) {
     primaryTracker.onEndpointRemoved(endpointId);
+    replacement.onEndpointRemoved(endpointId);
     probeSentAt.remove(endpointId);
     unansweredProbes.remove(endpointId);
     updatePrimary();
@@ -114,6 +115,22 @@
     return primaryTracker.primary().map(pools::get);
   }
 
+  /** Returns the pool of the primary if it can start a statement now. */
+  Optional<EndpointPool> primaryThatCanStart(long now) {
+    return primary().filter(pool -> acceptsPrimaryWork(pool, now) && pool.canStart(now));
+  }
+
+  private boolean acceptsPrimaryWork(EndpointPool pool, long now) {
+    return pool.acceptsPrimaryWork(now) && !replacement.holdsWritesBackFrom(pool);
+  }
+
+  /** Returns whether a statement of an open transaction can be started now. */
+  boolean mayContinue(OpenTransaction transaction, StatementRequest request) {
+    EndpointPool pool = transaction.pool();
+    return pool.hasSlot()
+        && !(request.operation().mayCommit() && replacement.holdsWritesBackFrom(pool));
+  }
+
   boolean isPrimary(String endpointId) {
     return primaryTracker.primary().filter(endpointId::equals).isPresent();
   }
@@ -137,10 +154,12 @@
 
   private void updateOutage(long now) {
     boolean reachable =
-        primary().filter(pool -> pool.isReachable(now) && pool.acceptsPrimaryWork(now)).isPresent();
+        primary()
+            .filter(pool -> pool.isReachable(now) && acceptsPrimaryWork(pool, now))
+            .isPresent();
     outageSince = reachable ? Long.MAX_VALUE : Math.min(outageSince, now);
     if (reachable) {
-      permission.onPrimaryUsable();
+      replacement.onPrimaryUsable();
     }
   }
 
@@ -159,9 +178,15 @@
       primaryTracker.onPrimaryRefuted(id);
     }
     if (!reply.position().equals(Position.NONE)) {
+      if (!isPrimary(id)) {
+        replacement.onReplicaPosition(reply.position());
+      }
       pool.lag().observe(reply.position(), history, context.clock().now());
     }
     updatePrimary();
+    if (provesPrimary && isPrimary(id)) {
+      replacement.onPrimaryPosition(reply.position(), sentAt);
+    }
   }
 
   private void updatePrimary() {
@@ -173,10 +198,14 @@
     lastPrimary = primary;
     pools.forEach((id, pool) -> pool.setPrimary(primary.filter(id::equals).isPresent()));
     noPrimarySince = primary.isPresent() ? Long.MAX_VALUE : now;
-    if (primary.isPresent() && orderedAt != Long.MAX_VALUE) {
-      failoverTimeMilliseconds += FAILOVER_TIME_GAIN * (now - orderedAt - failoverTimeMilliseconds);
-      orderedAt = Long.MAX_VALUE;
-      ordersPausedUntil = now;
+    if (primary.isPresent()) {
+      replacement
+          .millisecondsSinceOrder(now)
+          .ifPresent(
+              milliseconds ->
+                  failoverTimeMilliseconds +=
+                      FAILOVER_TIME_GAIN * (milliseconds - failoverTimeMilliseconds));
+      replacement.onPrimary(primary.get(), primaryTracker.confirmedTerm());
     }
     context.log().log(
         EventKind.LEADER,
@@ -206,27 +235,23 @@
     } else if (active || waiting) {
       probeAll(now);
     }
-    if (orderedAt != Long.MAX_VALUE && (active || waiting)) {
+    if (replacement.millisecondsSinceOrder(now).isPresent() && (active || waiting)) {
       probeAll(now);
     }
-    permission.onIsolation(context.isIsolated(), now);
+    replacement.onIsolation(context.isIsolated(), now);
     if (!context.isAssignedGateway(group)) {
+      replacement.onNotAssigned();
       return;
     }
     if (active) {
       context.promotions().acquireLockInAdvance(group, now);
     }
-    if (now >= ordersPausedUntil
-        && mustReplacePrimary(primary, now)
-        && permission.mayPoll(now)
-        && context.promotions().mayOrder(group)) {
-      replacePrimary(primary, now);
-    }
+    replacement.sweep(primary, mustReplacePrimary(primary, now), now);
   }
 
   /** Returns whether a candidate is being chosen or a promotion was ordered. */
   boolean isReplacing() {
-    return poll.isRunning() || orderedAt != Long.MAX_VALUE;
+    return replacement.isRunning();
   }
 
   private void checkPrimary(EndpointPool primary, long now) {
@@ -342,53 +367,4 @@
             > context.localHealth().extended(NO_PRIMARY_TIMEOUT_IN_MILLISECONDS, now)
         && !pools.isEmpty();
   }
-
-  private void replacePrimary(Optional<EndpointPool> primary, long now) {
-    if (!poll.isRunning()) {
-      poll.start(primary, now);
-      return;
-    }
-    List<Succession.Candidate> candidates = poll.candidates();
-    boolean allAnswered = candidates.size() >= pools.size() - (primary.isPresent() ? 1 : 0);
-    if (!allAnswered && !poll.isDue(now)) {
-      return;
-    }
-    poll.end();
-    int answering =
-        candidates.size() + (primary.isPresent() && primary.get().isReachable(now) ? 1 : 0);
-    boolean conclusive = permission.mayChoose(answering, pools.size(), now);
-    Optional<String> candidate = conclusive ? Succession.choose(candidates) : Optional.empty();
-    context.log().log(
-        EventKind.PROMOTION,
-        "considered",
-        "group",
-        group,
-        "leader",
-        primary.map(pool -> pool.entry().id()).orElse("none"),
-        "candidates",
-        candidates,
-        "conclusive",
-        conclusive,
-        "successor",
-        candidate.orElse("none"));
-    if (candidate.isPresent()) {
-      orderPromotion(candidate.get(), now);
-    } else {
-      ordersPausedUntil = now + PROMOTION_RETRY_DELAY_IN_MILLISECONDS;
-    }
-  }
-
-  private void orderPromotion(String endpointId, long now) {
-    orderedAt = now;
-    ordersPausedUntil = now + PROMOTION_TIMEOUT_IN_MILLISECONDS;
-    context
-        .promotions()
-        .promote(group, endpointId)
-        .onSuccess(
-            outcome -> {
-              if (outcome != PromotionOrders.Outcome.ACCEPTED) {
-                ordersPausedUntil = context.clock().now() + PROMOTION_RETRY_DELAY_IN_MILLISECONDS;
-              }
-            });
-  }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -218,6 +218,11 @@
     return connection;
   }
 
+  /** Returns whether the attempt may commit a change of the data at an endpoint. */
+  boolean mayCommitAt(EndpointPool endpoint) {
+    return pool == endpoint && statement.request().operation().mayCommit();
+  }
+
   /** Returns whether the statement is the first one of a transaction of the given VM's run. */
   boolean beginsTransactionOf(VmRun origin) {
     return statement.request().beginsTransaction() && statement.origin().equals(origin);
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/SilentPrimary.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/SilentPrimary.java
@@ -59,7 +59,7 @@
             "a",
             1);
     context.setCatalog(
-        new Catalog(1, Map.of(), Map.of(), Map.of("group", new GroupLimits(20)), 3_000));
+        new Catalog(1, Map.of(), Map.of(), Map.of("group", new GroupLimits(20, 0)), 3_000));
     context.setFeatures(features, new MetricRegistry());
     // Promotions are not of interest here, and only the assigned gateway orders them.
     context.setAssignedGateway(group -> false);
