Hold writes back from a failed primary until it works again or is replaced

Found when reading the change of the replacement: after each poll that chose no endpoint the hold ended also for a failed primary, and a hold that had begun while the primary worked did not end the writes that were running when it failed. Either write could be acknowledged after the other endpoints had reported their positions. By reading; a test with a silent primary did not fail without this change (new connections to it do not open, so no write reaches it) and was left out.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
@@ -160,7 +160,7 @@
     }
     boolean working = primary.isPresent() && !hasFailed(primary.get(), now);
     if (working && hold.duration(now) > MAXIMUM_HOLD_IN_MILLISECONDS) {
-      postpone("the primary could not be replaced in time", now);
+      postpone("the primary could not be replaced in time", true, now);
     } else if (primary.isPresent() && !working && synchronousSuccession().isPresent()) {
       holdBackFromFailed(primary.get(), now);
     }
@@ -190,7 +190,7 @@
    * it may acknowledge them after the other endpoints have reported their positions.
    */
   private void holdBackFromFailed(EndpointPool primary, long now) {
-    if (hold.begin(primary, now)) {
+    if (hold.beginForFailed(primary, now)) {
       logHold("writes held back from a failed primary", primary.entry().id());
       poll.end();
       primary.connectionsAwaitingReplySince(now).forEach(EndpointConnection::close);
@@ -238,12 +238,12 @@
         "successor",
         candidate.orElse("none"));
     if (candidate.isEmpty()) {
-      postpone("no endpoint may lead yet", now);
+      postpone("no endpoint may lead yet", working, now);
     } else if (working && synchronousSuccession().isPresent() && !hold.isInEffect()) {
       hold.begin(primary.get(), now);
       logHold("writes held back", primary.get().entry().id());
     } else {
-      orderPromotion(candidate.get(), now);
+      orderPromotion(candidate.get(), working, now);
     }
   }
 
@@ -274,7 +274,7 @@
     return silent.size() + departed.count(lastPrimary);
   }
 
-  private void orderPromotion(String endpointId, long now) {
+  private void orderPromotion(String endpointId, boolean working, long now) {
     orderedAt = now;
     ordersPausedUntil = now + PROMOTION_TIMEOUT_IN_MILLISECONDS;
     context
@@ -283,15 +283,17 @@
         .onSuccess(
             outcome -> {
               if (outcome != PromotionOrders.Outcome.ACCEPTED) {
-                postpone("the promotion was not accepted", context.clock().now());
+                postpone("the promotion was not accepted", working, context.clock().now());
               }
             });
   }
 
-  /** Lets a working primary go on, and tries to replace it again after a delay. */
-  private void postpone(String reason, long now) {
+  /** Tries to replace the primary again after a delay; one that works goes on until then. */
+  private void postpone(String reason, boolean working, long now) {
     ordersPausedUntil = now + PROMOTION_RETRY_DELAY_IN_MILLISECONDS;
-    endHold(reason);
+    if (working) {
+      endHold(reason);
+    }
   }
 
   private void endHold(String reason) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/WriteHold.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/WriteHold.java
@@ -14,6 +14,7 @@
   private Optional<EndpointPool> held = Optional.empty();
   private long since = NEVER;
   private long quietSince = NEVER;
+  private boolean forFailed;
 
   /**
    * Creates a hold that is not in effect.
@@ -24,14 +25,24 @@
     this.hasRunningWrites = hasRunningWrites;
   }
 
-  /** Begins to hold writes back from an endpoint; returns false if they were held back before. */
-  boolean begin(EndpointPool primary, long now) {
-    if (isInEffect(primary)) {
-      return false;
-    }
+  /** Begins to hold writes back from a primary that works. */
+  void begin(EndpointPool primary, long now) {
     held = Optional.of(primary);
     since = now;
     quietSince = NEVER;
+    forFailed = false;
+  }
+
+  /**
+   * Holds writes back from a primary that has failed; returns false if they were held back from it
+   * for this reason before.
+   */
+  boolean beginForFailed(EndpointPool primary, long now) {
+    if (isInEffect(primary) && forFailed) {
+      return false;
+    }
+    begin(primary, now);
+    forFailed = true;
     return true;
   }
 
