Promote with a proof of all commits without waiting, and with no less

Found by asking, for each order of events, what proves that no acknowledged commit is missing in a group with synchronous replicas.

Callers would have seen: writes refused for 6 s or until an endpoint came back, although the replica left had received everything (a drained replica had left; another one had crashed); and a lost commit when a VM that had just started did not know all members yet, or became the gateway after an endpoint had left.

Cause: silent replicas were counted without the primary, departed ones for 30 s even if they had drained, and what the primary showed counted as acknowledged although it may hold more; the pause for a VM that may be cut off applied to endpoints that refuse connections. A first proof of the primary cleared the departed endpoints.

Change: an acknowledged commit is on the primary and on the synchronous replicas, so candidates have it if at most that many endpoints are missing (hasAllCommits). DepartedEndpoints count until a replica has received what they may have held; a drained one receives nothing more. Acknowledged is what the primary showed first and with commits since; it is forgotten while this VM is isolated or not the gateway. Members count as all after 3 s. Nothing of it applies without synchronous replicas (AsynchronousGroupTest).

--- a/core/src/main/java/org/toucanmast/core/failover/PrimaryFailureDetector.java
+++ b/core/src/main/java/org/toucanmast/core/failover/PrimaryFailureDetector.java
@@ -74,6 +74,17 @@
     return refusedSince != Long.MAX_VALUE || silentSince != Long.MAX_VALUE;
   }
 
+  /**
+   * Returns whether the endpoint refuses connections: no process listens, but its machine can be
+   * reached.
+   *
+   * @param now the current time, in milliseconds
+   */
+  public boolean isRefusing(long now) {
+    expire(now);
+    return refusedSince != Long.MAX_VALUE;
+  }
+
   /**
    * Returns whether the signs of failure have lasted long enough to replace the primary.
    *
--- a/core/src/main/java/org/toucanmast/core/failover/SynchronousSuccession.java
+++ b/core/src/main/java/org/toucanmast/core/failover/SynchronousSuccession.java
@@ -8,8 +8,8 @@
 
 /**
  * Chooses the endpoint that replaces a primary in a group whose commits are acknowledged after a
- * number of replicas have received them. The chosen endpoint has received every commit that was
- * acknowledged, whether or not it may be given new work: one that may not is replaced in turn.
+ * number of replicas have received them. The chosen endpoint has received every acknowledged
+ * commit. It may be one that must not be given new work, which is then replaced in turn.
  *
  * @param synchronousReplicas the number of replicas that have received a commit before it is
  *     acknowledged, at least 1
@@ -28,38 +28,32 @@
   }
 
   /**
-   * Returns the id of the endpoint that replaces a primary that was lost; empty if an endpoint that
-   * has not reported its position may hold acknowledged commits that no candidate has received.
+   * Returns whether the candidates together have received every acknowledged commit. The primary
+   * and the synchronous replicas have each of them, so that one of these is among the candidates.
    *
-   * @param silentReplicas the replicas that may have received commits and are not candidates,
-   *     whether or not they are still members of the group
-   * @param acknowledged a position that covers all acknowledged commits; empty if none is known
+   * @param missingEndpoints the endpoints that may have received commits and are not candidates,
+   *     the primary included, whether or not they are still members of the group
    */
-  public Optional<String> afterLoss(
-      Collection<Candidate> candidates, int silentReplicas, Optional<Position> acknowledged) {
-    Optional<Position> mostAdvanced =
-        candidates.stream().map(Candidate::received).max(Comparator.naturalOrder());
-    Optional<Position> required =
-        silentReplicas < synchronousReplicas ? mostAdvanced : acknowledged;
-    return required.flatMap(position -> choose(candidates, position, false));
+  public boolean hasAllCommits(int missingEndpoints) {
+    return missingEndpoints <= synchronousReplicas;
+  }
+
+  /** Returns the most advanced of candidates that together have every acknowledged commit. */
+  public Optional<String> mostAdvanced(Collection<Candidate> candidates) {
+    return candidates.stream()
+        .map(Candidate::received)
+        .max(Comparator.naturalOrder())
+        .flatMap(position -> holding(candidates, position));
   }
 
   /**
-   * Returns the id of the endpoint that replaces a primary that still works; empty if no candidate
-   * that accepts work has received all acknowledged commits. The primary must not acknowledge
-   * further ones.
+   * Returns the candidate that has received all commits up to a position; empty if none has.
    *
-   * @param acknowledged a position that covers all acknowledged commits
+   * @param acknowledged a position that covers every acknowledged commit
    */
-  public Optional<String> planned(Collection<Candidate> candidates, Position acknowledged) {
-    return choose(candidates, acknowledged, true);
-  }
-
-  private static Optional<String> choose(
-      Collection<Candidate> candidates, Position required, boolean onlyWorking) {
+  public Optional<String> holding(Collection<Candidate> candidates, Position acknowledged) {
     return candidates.stream()
-        .filter(candidate -> candidate.received().compareTo(required) >= 0)
-        .filter(candidate -> candidate.mayWork() || !onlyWorking)
+        .filter(candidate -> candidate.received().compareTo(acknowledged) >= 0)
         .max(
             Comparator.comparing(Candidate::mayWork)
                 .thenComparing(Candidate::received)
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -88,7 +88,8 @@
     attempt.pool().learned().ifPresent(limit -> learn(limit, attempt, reply, now));
     StatementRequest request = attempt.statement().request();
     boolean provesPrimary = reply.isSuccess() && attempt.scope().provesPrimary(request.operation());
-    primaryMonitor.onReply(attempt.pool(), reply, attempt.startedAt(), provesPrimary);
+    boolean committed = provesPrimary && request.operation().mayCommit();
+    primaryMonitor.onReply(attempt.pool(), reply, attempt.startedAt(), provesPrimary, committed);
     if (reply.code() == ResultCode.NO_STATEMENT) {
       attempt.connection().clearPreparedStatements();
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryMonitor.java
@@ -170,6 +170,20 @@
    * @param provesPrimary whether only the primary can give this reply
    */
   void onReply(EndpointPool pool, EndpointReply reply, long sentAt, boolean provesPrimary) {
+    onReply(pool, reply, sentAt, provesPrimary, false);
+  }
+
+  /**
+   * Updates the known primary and positions from a reply.
+   *
+   * @param committed whether the reply acknowledges a commit
+   */
+  void onReply(
+      EndpointPool pool,
+      EndpointReply reply,
+      long sentAt,
+      boolean provesPrimary,
+      boolean committed) {
     String id = pool.entry().id();
     if (provesPrimary) {
       primaryTracker.onPrimaryConfirmed(id, reply.position().term());
@@ -185,7 +199,7 @@
     }
     updatePrimary();
     if (provesPrimary && isPrimary(id)) {
-      replacement.onPrimaryPosition(reply.position(), sentAt);
+      replacement.onPrimaryPosition(reply.position(), sentAt, committed);
     }
   }
 
@@ -205,7 +219,7 @@
               milliseconds ->
                   failoverTimeMilliseconds +=
                       FAILOVER_TIME_GAIN * (milliseconds - failoverTimeMilliseconds));
-      replacement.onPrimary(primary.get(), primaryTracker.confirmedTerm());
+      replacement.onPrimary();
     }
     context.log().log(
         EventKind.LEADER,
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.toucanmast.core.catalog.EndpointEntry;
-import org.toucanmast.core.failover.DepartedReplicas;
+import org.toucanmast.core.failover.DepartedEndpoints;
 import org.toucanmast.core.failover.OrderPermission;
 import org.toucanmast.core.failover.Succession;
 import org.toucanmast.core.failover.SynchronousSuccession;
@@ -30,6 +30,12 @@
   /** Delay before the next poll when no promotion could be ordered, in milliseconds. */
   private static final long PROMOTION_RETRY_DELAY_IN_MILLISECONDS = 200;
 
+  /**
+   * The members of a group are taken for all of them when they have been known for this long:
+   * entries that expired while the store was down are back within two seconds of its return.
+   */
+  private static final long LISTING_TIME_IN_MILLISECONDS = 3_000;
+
   /** Writes are held back from a working primary for this long at most: two promotions. */
   private static final long MAXIMUM_HOLD_IN_MILLISECONDS = 5_000;
 
@@ -42,12 +48,11 @@
   private final Consumer<EndpointPool> prober;
   private final WriteHold hold;
   private final OrderPermission permission = new OrderPermission();
-  private final DepartedReplicas departed = new DepartedReplicas();
-  private String lastPrimary = "";
-  private long lastTerm;
+  private final DepartedEndpoints departed = new DepartedEndpoints();
   private Position shownByPrimary = Position.NONE;
   private long shownAt = Long.MIN_VALUE;
-  private long assignedSince = NEVER;
+  private Optional<Position> acknowledged = Optional.empty();
+  private long memberSince = NEVER;
   private long ordersPausedUntil = Long.MIN_VALUE;
   private long orderedAt = NEVER;
 
@@ -72,21 +77,30 @@
   }
 
   void onEndpointUpdated(EndpointEntry entry) {
-    departed.onEntry(entry, shownByPrimary, context.clock().now());
+    long now = context.clock().now();
+    memberSince = Math.min(memberSince, now);
+    departed.onEntry(entry, acknowledged, now);
   }
 
   void onEndpointRemoved(String endpointId) {
-    departed.onRemoved(endpointId, shownByPrimary, context.clock().now());
+    departed.onRemoved(endpointId, acknowledged, context.clock().now());
   }
 
   /**
    * Records a position that the primary has shown.
    *
    * @param askedAt when the primary was asked, on the steady clock in milliseconds
+   * @param committed whether it has shown it with the acknowledgement of a commit
    */
-  void onPrimaryPosition(Position position, long askedAt) {
+  void onPrimaryPosition(Position position, long askedAt, boolean committed) {
     shownByPrimary = shownByPrimary.maximum(position);
     shownAt = Math.max(shownAt, askedAt);
+    if (acknowledged.isEmpty()) {
+      departed.onAcknowledged(position);
+    }
+    if (acknowledged.isEmpty() || committed) {
+      acknowledged = Optional.of(position.maximum(acknowledged.orElse(position)));
+    }
   }
 
   /** Records that an endpoint other than the primary has shown a position of its log. */
@@ -99,27 +113,23 @@
     permission.onPrimaryUsable();
   }
 
-  /**
-   * Records which endpoint leads the group now.
-   *
-   * @param term the newest term in which a primary was confirmed
-   */
-  void onPrimary(String endpointId, long term) {
-    lastPrimary = endpointId;
+  /** Records that another endpoint leads the group now, or the same one again. */
+  void onPrimary() {
     // The former primary may have shown positions that were rolled back.
-    shownByPrimary = Position.NONE;
-    shownAt = Long.MIN_VALUE;
-    if (term > lastTerm) {
-      lastTerm = term;
-      departed.onNewPrimary();
-    }
-    endHold("another primary leads");
+    forgetPositions();
+    endHold("the group has a primary");
     if (orderedAt != NEVER) {
       orderedAt = NEVER;
       ordersPausedUntil = context.clock().now();
     }
   }
 
+  private void forgetPositions() {
+    shownByPrimary = Position.NONE;
+    shownAt = Long.MIN_VALUE;
+    acknowledged = Optional.empty();
+  }
+
   /** Returns for how long an order has been in progress, in milliseconds; empty if none is. */
   Optional<Long> millisecondsSinceOrder(long now) {
     return orderedAt == NEVER ? Optional.empty() : Optional.of(now - orderedAt);
@@ -138,11 +148,16 @@
   /** Records whether most of the VMs that this VM monitors do not answer it. */
   void onIsolation(boolean isolated, long now) {
     permission.onIsolation(isolated, now);
+    if (isolated) {
+      // Another gateway may serve the group meanwhile.
+      forgetPositions();
+    }
   }
 
   /** Replaces nothing at a VM that is not the assigned gateway of the group. */
   void onNotAssigned() {
-    assignedSince = NEVER;
+    // Commits are acknowledged through another gateway now.
+    forgetPositions();
     endHold("not the assigned gateway");
   }
 
@@ -153,7 +168,6 @@
    * @param necessary whether the group needs another primary
    */
   void sweep(Optional<EndpointPool> primary, boolean necessary, long now) {
-    assignedSince = Math.min(assignedSince, now);
     if (!necessary) {
       endHold("the primary need not be replaced");
       return;
@@ -216,10 +230,16 @@
       return;
     }
     poll.end();
+    candidates.forEach(candidate -> departed.onReceived(candidate.received(), now));
+    Optional<SynchronousSuccession> synchronous = synchronousSuccession();
     int answering =
         candidates.size() + (primary.isPresent() && primary.get().isReachable(now) ? 1 : 0);
-    boolean conclusive = permission.mayChoose(answering, pools.size(), now);
-    Optional<String> candidate = conclusive ? successor(candidates, working) : Optional.empty();
+    int refusing = synchronous.isPresent() ? refusingEndpoints(now) : 0;
+    boolean majorityAnswered = permission.mayChoose(answering + refusing, pools.size(), now);
+    Optional<String> candidate =
+        synchronous
+            .map(rule -> synchronousChoice(rule, candidates, working, majorityAnswered, now))
+            .orElseGet(() -> majorityAnswered ? Succession.choose(candidates) : Optional.empty());
     context.log().log(
         EventKind.PROMOTION,
         "considered",
@@ -230,11 +250,11 @@
         "candidates",
         candidates,
         "conclusive",
-        conclusive,
-        "silent",
-        silentReplicas(candidates),
+        majorityAnswered,
+        "missing",
+        missingEndpoints(candidates),
         "acknowledged",
-        acknowledgedPosition(),
+        acknowledged.map(Position::toString).orElse("unknown"),
         "successor",
         candidate.orElse("none"));
     if (candidate.isEmpty()) {
@@ -247,31 +267,44 @@
     }
   }
 
-  private Optional<String> successor(List<Succession.Candidate> candidates, boolean working) {
-    Optional<SynchronousSuccession> rule = synchronousSuccession();
-    if (rule.isEmpty()) {
-      return Succession.choose(candidates);
+  /**
+   * Returns an endpoint that has received every acknowledged commit; empty if none is known to
+   * have.
+   */
+  private Optional<String> synchronousChoice(
+      SynchronousSuccession rule,
+      List<Succession.Candidate> candidates,
+      boolean working,
+      boolean majorityAnswered,
+      long now) {
+    if (working) {
+      // What the primary shows covers all commits; writes are held back before the last choice.
+      return majorityAnswered && !shownByPrimary.equals(Position.NONE)
+          ? rule.holding(
+              candidates.stream().filter(Succession.Candidate::mayWork).toList(), shownByPrimary)
+          : Optional.empty();
+    }
+    boolean allMembersKnown = now - memberSince >= LISTING_TIME_IN_MILLISECONDS;
+    if (allMembersKnown && rule.hasAllCommits(missingEndpoints(candidates))) {
+      return rule.mostAdvanced(candidates);
     }
-    Optional<Position> acknowledged = acknowledgedPosition();
-    return working
-        ? acknowledged.flatMap(position -> rule.get().planned(candidates, position))
-        : rule.get().afterLoss(candidates, silentReplicas(candidates), acknowledged);
+    return majorityAnswered
+        ? acknowledged.flatMap(position -> rule.holding(candidates, position))
+        : Optional.empty();
   }
 
   /**
-   * Returns a position that covers the commits that were acknowledged through this gateway; empty
-   * if it has not seen the primary's position since the group was assigned to it.
+   * Returns the number of endpoints that have ended on machines that this VM is not cut off from.
    */
-  private Optional<Position> acknowledgedPosition() {
-    return shownAt >= assignedSince ? Optional.of(shownByPrimary) : Optional.empty();
+  private int refusingEndpoints(long now) {
+    return (int) pools.values().stream().filter(pool -> pool.suspicion().isRefusing(now)).count();
   }
 
-  /** Returns the number of replicas that may have received commits and are not candidates. */
-  private int silentReplicas(List<Succession.Candidate> candidates) {
-    List<String> silent = new ArrayList<>(pools.keySet());
-    candidates.forEach(candidate -> silent.remove(candidate.endpointId()));
-    silent.remove(lastPrimary);
-    return silent.size() + departed.count(lastPrimary);
+  /** Returns the number of endpoints that may have received commits and are not candidates. */
+  private int missingEndpoints(List<Succession.Candidate> candidates) {
+    List<String> missing = new ArrayList<>(pools.keySet());
+    candidates.forEach(candidate -> missing.remove(candidate.endpointId()));
+    return missing.size() + departed.count();
   }
 
   private void orderPromotion(String endpointId, boolean working, long now) {
