Ignore positions of the primary that were asked for before they were forgotten

Found by reading: after this VM was isolated or not the gateway, a late reply set the acknowledged position to one that need not cover the commits of another gateway. Such a reply is ignored now. No test of its own; SynchronousGroupTest, AsynchronousGroupTest and FormerPrimaryTest are green.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PrimaryReplacement.java
@@ -49,6 +49,7 @@
   private final WriteHold hold;
   private final OrderPermission permission = new OrderPermission();
   private final DepartedEndpoints departed = new DepartedEndpoints();
+  private long positionsForgottenAt = Long.MIN_VALUE;
   private Position shownByPrimary = Position.NONE;
   private long shownAt = Long.MIN_VALUE;
   private Optional<Position> acknowledged = Optional.empty();
@@ -93,6 +94,9 @@
    * @param committed whether it has shown it with the acknowledgement of a commit
    */
   void onPrimaryPosition(Position position, long askedAt, boolean committed) {
+    if (askedAt < positionsForgottenAt) {
+      return;
+    }
     shownByPrimary = shownByPrimary.maximum(position);
     shownAt = Math.max(shownAt, askedAt);
     if (acknowledged.isEmpty()) {
@@ -125,6 +129,7 @@
   }
 
   private void forgetPositions() {
+    positionsForgottenAt = context.clock().now();
     shownByPrimary = Position.NONE;
     shownAt = Long.MIN_VALUE;
     acknowledged = Optional.empty();
