Log and count what is prepared and refused on connections to endpoints

Change: lines of the kind SESSION_STATE, 20 a second at most, and three counters. No decision changes.

--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventKind.java
@@ -20,6 +20,8 @@
   PROMOTION(50),
   /** The duty of usage reports was acquired or lost, or a window recorded, reported or skipped. */
   USAGE(20),
+  /** Session values or a prepared statement were applied to a connection, or refused there. */
+  SESSION_STATE(20),
   /** A customer's token bucket was filled. */
   ALLOWANCE(50),
   /** The monotonic clock and the wall clock advanced by different amounts. */
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -1,9 +1,13 @@
 package org.toucanmast.runtime.gateway;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.toucanmast.core.request.RetryBudget;
+import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
@@ -25,6 +29,9 @@
   /** How long an endpoint is avoided after it was busy or a connection to it was lost. */
   private static final long BUSY_BACKOFF_IN_MILLISECONDS = 5;
 
+  /** Characters of a statement's text in a log line. */
+  private static final int MAXIMUM_LOGGED_LENGTH = 200;
+
   private final GatewayContext context;
   private final PrimaryMonitor primaryMonitor;
   private final StatementQueues queues;
@@ -60,6 +67,43 @@
     this.dispatch = dispatch;
   }
 
+  @Override
+  public void onAligning(StatementAttempt attempt, List<EndpointCommand> commands) {
+    context.metrics().counter("gateway.alignment.commands").inc(commands.size());
+    for (EndpointCommand command : commands) {
+      if (command instanceof EndpointCommand.Prepare prepare) {
+        logSessionState(
+            attempt, "statement prepared", "name", prepare.name(), "as", prepare.shape());
+      }
+    }
+  }
+
+  @Override
+  public void onAlignmentRefused(
+      StatementAttempt attempt, EndpointCommand command, EndpointReply reply) {
+    context.metrics().counter("gateway.alignment.refused").inc();
+    logSessionState(
+        attempt,
+        "session state refused",
+        "command",
+        command,
+        "code",
+        reply.code(),
+        "reason",
+        reply.text());
+  }
+
+  private void logSessionState(StatementAttempt attempt, String event, Object... fields) {
+    List<Object> all = new ArrayList<>();
+    Collections.addAll(all, "request", attempt.statement().request().requestId());
+    Collections.addAll(all, "endpoint", attempt.pool().entry().id());
+    for (Object field : fields) {
+      String text = String.valueOf(field);
+      all.add(text.substring(0, Math.min(text.length(), MAXIMUM_LOGGED_LENGTH)));
+    }
+    context.log().log(EventKind.SESSION_STATE, event, all.toArray());
+  }
+
   @Override
   public long onSent(StatementAttempt attempt) {
     return context.startedStatements().onStarted(attempt.statement().request());
@@ -91,6 +135,8 @@
     boolean committed = provesPrimary && request.operation().mayCommit();
     primaryMonitor.onReply(attempt.pool(), reply, attempt.startedAt(), provesPrimary, committed);
     if (reply.code() == ResultCode.NO_STATEMENT) {
+      context.metrics().counter("gateway.prepared.unknown").inc();
+      logSessionState(attempt, "prepared statement unknown to the endpoint");
       attempt.connection().clearPreparedStatements();
     }
     if (request.operation().inTransaction()) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -34,6 +34,12 @@
 
   /** Handles the result of an attempt. */
   interface ResultHandler {
+    /** Called when the commands that align the connection with the session are sent. */
+    void onAligning(StatementAttempt attempt, List<EndpointCommand> commands);
+
+    /** Called when the endpoint refused one of the commands that align the connection. */
+    void onAlignmentRefused(StatementAttempt attempt, EndpointCommand command, EndpointReply reply);
+
     /** Called when the statement is sent to the endpoint; returns the window that it counts in. */
     long onSent(StatementAttempt attempt);
 
@@ -70,6 +76,7 @@
   private boolean countedOverdue;
   private Stage stage = Stage.RUNNING;
   private int statementIndex;
+  private List<EndpointCommand> alignment = List.of();
   private long window;
   private boolean holdsSlot = true;
 
@@ -106,8 +113,11 @@
     concurrency = pool.runningStatements();
     pool.learned().ifPresent(limit -> timerDelayAtStart = limit.timerDelay(startedAt));
     StatementRequest request = statement.request();
-    List<EndpointCommand> commands =
-        new ArrayList<>(connection.alignSession(request.values(), request.prepared()));
+    alignment = connection.alignSession(request.values(), request.prepared());
+    if (!alignment.isEmpty()) {
+      resultHandler.onAligning(this, alignment);
+    }
+    List<EndpointCommand> commands = new ArrayList<>(alignment);
     if (beginsTransaction()) {
       stage = Stage.BEGINNING;
       boolean readOnly = scope == TransactionScope.READ_ONLY;
@@ -146,6 +156,7 @@
   public void onReply(int index, EndpointReply reply) {
     if (index < statementIndex) {
       if (!reply.isSuccess()) {
+        resultHandler.onAlignmentRefused(this, alignment.get(index), reply);
         connection.close();
       }
       return;
