Give prepared statements names without their text at endpoints

Callers saw reads run as writes and writes as reads, in another shape or with other data, whenever a shape had several words; two statements of which one began like the other replaced each other. Cause: the name at the endpoint was the shape with a prefix, and it was joined into lines whose reader splits at blanks. The class: one text is built for another parser by joining strings. Evidence: SESSION_STATE lines name 'w_qa WRITE md' and 'w_qa'; the endpoint read the first one as w_qa. Change: a name is a number of the connection and is never given out twice (ConnectionStatements). Idle connections drop more than 256 Ki characters of statements and 64 Ki of values.

--- a/core/src/main/java/org/toucanmast/core/statement/PreparedShape.java
+++ b/core/src/main/java/org/toucanmast/core/statement/PreparedShape.java
@@ -17,12 +17,4 @@
       throw new IllegalArgumentException("a prepared statement needs an access and a shape");
     }
   }
-
-  /**
-   * Returns the name under which the statement is prepared at endpoints. All sessions that use the
-   * same access and shape share it.
-   */
-  public String endpointName() {
-    return (access == Access.READ ? "r_" : "w_") + shape;
-  }
 }
--- a/core/src/main/java/org/toucanmast/core/statement/Statement.java
+++ b/core/src/main/java/org/toucanmast/core/statement/Statement.java
@@ -27,6 +27,6 @@
   /** Removes a prepared statement from the session. */
   record Deallocate(String name) implements Statement {}
 
-  /** A statement that cannot be parsed. */
-  record Invalid(String reason) implements Statement {}
+  /** A statement that is refused because of its text. */
+  record Invalid(ResultCode code, String reason) implements Statement {}
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -8,12 +8,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.toucanmast.core.catalog.EndpointEntry;
+import org.toucanmast.core.gateway.ConnectionStatements;
 import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
 import org.toucanmast.core.statement.PreparedShape;
@@ -58,6 +57,9 @@
     void onLost(int index, Loss loss, boolean sent);
   }
 
+  /** Total length of the session values that an idle connection keeps, in characters. */
+  private static final long MAXIMUM_KEPT_VALUE_LENGTH = 64 * 1024;
+
   private record PendingReply(ReplyHandler handler, int index, long issuedAt) {}
 
   private final EndpointEntry entry;
@@ -69,7 +71,7 @@
   private final Runnable onClosed;
   private final Deque<PendingReply> pendingReplies = new ArrayDeque<>();
   private final Map<String, String> sessionValues = new HashMap<>();
-  private final Set<PreparedShape> preparedStatements = new HashSet<>();
+  private final ConnectionStatements preparedStatements = new ConnectionStatements();
   private final Buffer unsent = Buffer.buffer();
   private NetSocket socket;
   private boolean opened;
@@ -126,8 +128,24 @@
     socket.handler(this::onBytes);
     socket.closeHandler(ignored -> end(Loss.CLOSED, true));
     socket.exceptionHandler(error -> end(Loss.CLOSED, true));
-    EndpointCommand openCommand = new EndpointCommand.Open(entry.group(), customer, entry.id());
-    socket.write(dialect.encode(openCommand));
+    try {
+      socket.write(dialect.encode(new EndpointCommand.Open(entry.group(), customer, entry.id())));
+    } catch (DialectException e) {
+      logUnsendable(e);
+      end(Loss.UNREACHABLE, false);
+    }
+  }
+
+  private void logUnsendable(DialectException reason) {
+    log.log(
+        EventKind.ERROR,
+        "command cannot be sent to an endpoint",
+        "endpoint",
+        entry.id(),
+        "customer",
+        customer,
+        "reason",
+        reason.getMessage());
   }
 
   private void onOpened() {
@@ -140,13 +158,21 @@
 
   /**
    * Sends commands in order. The handler is called once for each of them, with its reply or with
-   * the loss of the connection.
+   * the loss of the connection. If one of them cannot be encoded, none is sent, and the connection
+   * is closed, as the endpoint no longer holds what is recorded here.
    */
   void exchange(List<EndpointCommand> commands, ReplyHandler handler) {
     long now = clock.now();
     Buffer bytes = Buffer.buffer();
+    try {
+      for (EndpointCommand command : commands) {
+        bytes.appendBuffer(dialect.encode(command));
+      }
+    } catch (DialectException e) {
+      logUnsendable(e);
+      close();
+    }
     for (int index = 0; index < commands.size(); index++) {
-      bytes.appendBuffer(dialect.encode(commands.get(index)));
       pendingReplies.addLast(new PendingReply(handler, index, now));
     }
     lastUsedAt = now;
@@ -188,7 +214,8 @@
 
   /**
    * Returns the commands that bring the connection to the requested session values and prepare the
-   * statement. The connection records them as applied, so the commands must be sent.
+   * statement. The connection records them as applied, so the commands must be sent. What needs
+   * them may be sent only after the endpoint has accepted all of them.
    *
    * <p>A connection that holds a value that is not requested is reset first, which drops its
    * prepared statements as well.
@@ -208,11 +235,46 @@
           }
         });
     statement
-        .filter(preparedStatements::add)
-        .ifPresent(shape -> commands.add(new EndpointCommand.Prepare(shape.endpointName(), shape)));
+        .filter(shape -> !preparedStatements.contains(shape))
+        .ifPresent(
+            shape ->
+                commands.add(new EndpointCommand.Prepare(preparedStatements.add(shape), shape)));
     return commands;
   }
 
+  /** Returns the name under which a statement that is prepared here is known to the endpoint. */
+  String preparedName(PreparedShape statement) {
+    return preparedStatements.name(statement);
+  }
+
+  /** Returns whether the connection holds more of sessions than an idle one should keep. */
+  boolean isSessionStateTooLarge() {
+    long valueLength = sessionValues.values().stream().mapToLong(String::length).sum();
+    return preparedStatements.isTooLarge() || valueLength > MAXIMUM_KEPT_VALUE_LENGTH;
+  }
+
+  /** Drops all session values and prepared statements, and closes the connection on a refusal. */
+  void resetSession(Runnable onReset) {
+    sessionValues.clear();
+    preparedStatements.clear();
+    exchange(
+        List.of(new EndpointCommand.Reset()),
+        new ReplyHandler() {
+          @Override
+          public void onReply(int index, EndpointReply reply) {
+            if (!reply.isSuccess()) {
+              close();
+            }
+            onReset.run();
+          }
+
+          @Override
+          public void onLost(int index, Loss loss, boolean sent) {
+            onReset.run();
+          }
+        });
+  }
+
   /** Forgets the prepared statements, after the endpoint has reported one as unknown. */
   void clearPreparedStatements() {
     preparedStatements.clear();
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -340,9 +340,13 @@
     return leastRecentlyUsed.isPresent();
   }
 
-  /** Returns a connection to the pool. */
+  /** Returns a connection to the pool; first drops session state that is too large to be kept. */
   void release(EndpointConnection connection) {
-    connection.setBusy(false);
+    if (!connection.isClosed() && connection.isSessionStateTooLarge()) {
+      connection.resetSession(() -> connection.setBusy(false));
+    } else {
+      connection.setBusy(false);
+    }
   }
 
   /** Returns a connection to the pool, or closes it if its transaction has not ended. */
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -148,7 +148,10 @@
     Optional<PreparedShape> prepared = request.prepared();
     return prepared.isPresent()
         ? new EndpointCommand.Execute(
-            request.requestId(), prepared.get().endpointName(), request.text(), position)
+            request.requestId(),
+            connection.preparedName(prepared.get()),
+            request.text(),
+            position)
         : new EndpointCommand.Run(request.requestId(), request.text(), position);
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/port/EndpointDialect.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/EndpointDialect.java
@@ -21,8 +21,12 @@
   /** Returns a decoder for a new connection. */
   Decoder decoder();
 
-  /** Encodes a command. */
-  Buffer encode(EndpointCommand command);
+  /**
+   * Encodes a command.
+   *
+   * @throws DialectException if the endpoint would read another command, or none
+   */
+  Buffer encode(EndpointCommand command) throws DialectException;
 
   /**
    * Parses the reply to a status command.
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -150,7 +150,7 @@
 
   private void handleSessionStatement(String requestId, Statement statement) {
     if (statement instanceof Statement.Invalid invalid) {
-      refuse(requestId, ResultCode.MALFORMED, invalid.reason());
+      refuse(requestId, invalid.code(), invalid.reason());
     } else if (variables.apply(statement)) {
       writeSuccess();
     } else {
