Send a statement after the endpoint has accepted the state of its session

Callers could have a write run with other session values than acknowledged. Cause: SET, RESET and PREPARE were sent together with the statement that needs them, which ran although one of them had been refused. Change: an attempt aligns the connection first and sends its statement when all replies are a success; a refusal closes the connection, and the statement is repeated or refused as not run. Where a BEGIN follows, it still goes along. The extra round trip is only paid where the connection holds other values or lacks the statement.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -91,6 +91,31 @@
         reply.code(),
         "reason",
         reply.text());
+    endAttempt(attempt);
+    endUnsent(attempt, reply.code().guaranteesNoEffect() ? reply.code() : ResultCode.BUSY);
+  }
+
+  @Override
+  public void onEndedBeforeSent(StatementAttempt attempt) {
+    endAttempt(attempt);
+    if (attempt.statement().request().operation().inTransaction()) {
+      attempt.connection().close();
+    } else {
+      attempt.pool().release(attempt.connection());
+    }
+    endUnsent(attempt, ResultCode.BUSY);
+  }
+
+  /** Ends or repeats a statement that was not sent; an open transaction of it is rolled back. */
+  private void endUnsent(StatementAttempt attempt, ResultCode code) {
+    PendingStatement statement = attempt.statement();
+    transactions.find(statement.request()).ifPresent(transactions::remove);
+    if (statement.request().transaction() != StatementRequest.NO_TRANSACTION) {
+      statement.fail(ResultCode.ABORTED, "the values of the session could not be applied");
+    } else {
+      retryOrFail(attempt, code);
+    }
+    dispatch.run();
   }
 
   private void logSessionState(StatementAttempt attempt, String event, Object... fields) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -16,6 +16,9 @@
 /**
  * One attempt to run a statement on a connection.
  *
+ * <p>The statement is sent after the endpoint has accepted the values of its session and the
+ * preparation of its prepared statement: behind a refused one, it would run with others.
+ *
  * <p>A read that needs the primary is wrapped in a transaction that the gateway begins and rolls
  * back. An endpoint that is no longer the primary refuses it there, while it would answer a read
  * outside a transaction from an outdated log.
@@ -24,6 +27,8 @@
 
   /** Progress of an attempt. */
   private enum Stage {
+    /** The connection is being aligned with the session; the statement has not been sent. */
+    ALIGNING,
     /** The transaction is being begun; the statement has not been sent. */
     BEGINNING,
     /** The statement has been sent. */
@@ -37,9 +42,18 @@
     /** Called when the commands that align the connection with the session are sent. */
     void onAligning(StatementAttempt attempt, List<EndpointCommand> commands);
 
-    /** Called when the endpoint refused one of the commands that align the connection. */
+    /**
+     * Called when the endpoint refused one of the commands that align the connection; the statement
+     * was not sent, and the connection is closed.
+     */
     void onAlignmentRefused(StatementAttempt attempt, EndpointCommand command, EndpointReply reply);
 
+    /**
+     * Called when the statement ended, or its deadline passed, while the connection was aligned; it
+     * was not sent.
+     */
+    void onEndedBeforeSent(StatementAttempt attempt);
+
     /** Called when the statement is sent to the endpoint; returns the window that it counts in. */
     long onSent(StatementAttempt attempt);
 
@@ -77,6 +91,7 @@
   private Stage stage = Stage.RUNNING;
   private int statementIndex;
   private List<EndpointCommand> alignment = List.of();
+  private long alignedAt;
   private long window;
   private boolean holdsSlot = true;
 
@@ -117,16 +132,31 @@
     if (!alignment.isEmpty()) {
       resultHandler.onAligning(this, alignment);
     }
-    List<EndpointCommand> commands = new ArrayList<>(alignment);
     if (beginsTransaction()) {
       stage = Stage.BEGINNING;
       boolean readOnly = scope == TransactionScope.READ_ONLY;
+      List<EndpointCommand> commands = new ArrayList<>(alignment);
       commands.add(new EndpointCommand.Begin(readOnly, minimumPosition));
+      statementIndex = commands.size() - 1;
+      connection.exchange(commands, this);
+    } else if (alignment.isEmpty()) {
+      sendStatement(minimumPosition);
     } else {
-      commands.add(statementCommand(minimumPosition));
-      window = resultHandler.onSent(this);
+      stage = Stage.ALIGNING;
+      statementIndex = alignment.size() - 1;
+      connection.exchange(alignment, this);
+    }
+  }
+
+  private void sendStatement(Optional<Position> position) {
+    stage = Stage.RUNNING;
+    statementIndex = 0;
+    List<EndpointCommand> commands = new ArrayList<>();
+    commands.add(statementCommand(position));
+    window = resultHandler.onSent(this);
+    if (wrapped) {
+      commands.add(new EndpointCommand.Rollback());
     }
-    statementIndex = commands.size() - 1;
     connection.exchange(commands, this);
   }
 
@@ -136,7 +166,7 @@
 
   private TransactionScope initialScope() {
     return beginsTransaction()
-        ? TransactionScope.begun(!wrapped && !statement.needsPrimary())
+        ? TransactionScope.begun(!statement.needsPrimary())
         : TransactionScope.NONE;
   }
 
@@ -148,20 +178,14 @@
     Optional<PreparedShape> prepared = request.prepared();
     return prepared.isPresent()
         ? new EndpointCommand.Execute(
-            request.requestId(),
-            connection.preparedName(prepared.get()),
-            request.text(),
-            position)
+            request.requestId(), connection.preparedName(prepared.get()), request.text(), position)
         : new EndpointCommand.Run(request.requestId(), request.text(), position);
   }
 
   @Override
   public void onReply(int index, EndpointReply reply) {
-    if (index < statementIndex) {
-      if (!reply.isSuccess()) {
-        resultHandler.onAlignmentRefused(this, alignment.get(index), reply);
-        connection.close();
-      }
+    if (index < statementIndex || stage == Stage.ALIGNING) {
+      onAlignmentReply(index, reply);
       return;
     }
     switch (stage) {
@@ -172,6 +196,31 @@
     }
   }
 
+  private void onAlignmentReply(int index, EndpointReply reply) {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    if (!reply.isSuccess()) {
+      stage = Stage.ENDED;
+      releaseSlot();
+      connection.close();
+      resultHandler.onAlignmentRefused(this, alignment.get(index), reply);
+    } else if (stage == Stage.ALIGNING && index == statementIndex) {
+      onAligned();
+    }
+  }
+
+  private void onAligned() {
+    alignedAt = connection.lastUsedAt();
+    if (statement.isDone() || alignedAt >= statement.deadline()) {
+      stage = Stage.ENDED;
+      releaseSlot();
+      resultHandler.onEndedBeforeSent(this);
+    } else {
+      sendStatement(minimumPosition);
+    }
+  }
+
   private void onBeginReply(EndpointReply reply) {
     if (!reply.isSuccess()) {
       stage = Stage.ENDED;
@@ -179,15 +228,7 @@
       resultHandler.onBeginRefused(this, reply);
       return;
     }
-    stage = Stage.RUNNING;
-    statementIndex = 0;
-    List<EndpointCommand> commands = new ArrayList<>();
-    commands.add(statementCommand(Optional.empty()));
-    window = resultHandler.onSent(this);
-    if (wrapped) {
-      commands.add(new EndpointCommand.Rollback());
-    }
-    connection.exchange(commands, this);
+    sendStatement(Optional.empty());
   }
 
   private void onStatementReply(EndpointReply reply) {
@@ -294,9 +335,10 @@
   /**
    * Returns when the endpoint could start to work on the statement, on the steady clock in
    * milliseconds. The time to open a connection does not count as service time: after a restart of
-   * all VMs it would raise the expected waits so far that no statement is admitted.
+   * all VMs it would raise the expected waits so far that no statement is admitted. The time to
+   * align it does not count either.
    */
   long sentAt() {
-    return Math.max(startedAt, connection.openedAt());
+    return Math.max(Math.max(startedAt, alignedAt), connection.openedAt());
   }
 }
