Send the position of a long read with the begin of a transaction

Cause: AFTER and a position before a read of nearly 1 MiB made a message above the maximum; endpoints close the connection on it. Change: a read of more than 64 Ki characters that needs a position runs in a read-only transaction of the gateway, whose BEGIN carries the position. Result: the new test of PlatformVmTest failed before and passes.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -31,6 +31,9 @@
 
   private static final double MAXIMUM_SAVED_RETRIES = 20;
 
+  /** Length of a statement's text that leaves room for a position in the same message. */
+  private static final int MAXIMUM_TEXT_LENGTH_BESIDE_POSITION = 64 * 1024;
+
   /** The reason of results that statements get because their gateway was closed. */
   public static final String CLOSED = "the gateway is closed";
 
@@ -333,6 +336,7 @@
       Optional<Position> minimumPosition,
       boolean wrapped) {
     StatementRequest request = statement.request();
+    boolean beginsWithPosition = wrapped || minimumPosition.isPresent() && isLong(request);
     Optional<EndpointConnection> connection = pool.acquire(request.customer(), request.values());
     if (connection.isEmpty()) {
       queues.add(statement);
@@ -345,12 +349,21 @@
             pool,
             connection.get(),
             minimumPosition,
-            wrapped,
+            beginsWithPosition,
             Optional.empty(),
             now,
             resultHandler));
   }
 
+  /**
+   * Returns whether a read may exceed the maximum length of a message with the position that it
+   * needs; its position is then sent with the begin of a transaction.
+   */
+  private static boolean isLong(StatementRequest request) {
+    return request.operation() == Operation.READ
+        && request.text().length() > MAXIMUM_TEXT_LENGTH_BESIDE_POSITION;
+  }
+
   private void startInTransaction(PendingStatement statement, OpenTransaction transaction) {
     startAttempt(
         new StatementAttempt(
