--- a/core/src/test/java/org/toucanmast/core/failover/DepartedEndpointsTest.java
+++ b/core/src/test/java/org/toucanmast/core/failover/DepartedEndpointsTest.java
@@ -24,7 +24,10 @@
     departed.onRemoved("b", acknowledged, NOW);
   }
 
-  /** LOST: an endpoint that was gone was no member, and the one that was left counted as all. */
+  /**
+   * Lost commits: an endpoint that was gone was no member, and the one that was left counted as
+   * all.
+   */
   @Test
   void should_count_an_endpoint_that_has_left() {
     depart(true, ACKNOWLEDGED);
@@ -69,7 +72,9 @@
     assertThat(departed.count()).isZero();
   }
 
-  /** LOST: a VM that was not the gateway then takes any position of a replica for enough. */
+  /**
+   * Lost commits: a VM that was not the gateway then takes any position of a replica for enough.
+   */
   @Test
   void should_count_an_endpoint_until_it_is_known_what_it_may_have_held() {
     depart(true, Optional.empty());
--- a/core/src/test/java/org/toucanmast/core/failover/SynchronousSuccessionTest.java
+++ b/core/src/test/java/org/toucanmast/core/failover/SynchronousSuccessionTest.java
@@ -17,7 +17,9 @@
 
   private final SynchronousSuccession succession = new SynchronousSuccession(1);
 
-  /** LOST: the endpoint that was behind was promoted, because the other one was draining. */
+  /**
+   * Lost commits: the endpoint that was behind was promoted, because the other one was draining.
+   */
   @Test
   void should_choose_a_leaving_endpoint_that_alone_holds_acknowledged_commits() {
     assertThat(succession.mostAdvanced(List.of(BEHIND, LEAVING))).contains("b");
@@ -28,7 +30,10 @@
     assertThat(succession.mostAdvanced(List.of(BEHIND, LEAVING, UP_TO_DATE))).contains("c");
   }
 
-  /** LOST: the only endpoint that answered was promoted, without the commits of the silent one. */
+  /**
+   * Lost commits: the only endpoint that answered was promoted, without the commits of the silent
+   * one.
+   */
   @ParameterizedTest
   @CsvSource({"1, 0, true", "1, 1, true", "1, 2, false", "2, 2, true", "2, 3, false"})
   void should_need_one_of_the_endpoints_that_have_a_commit(
