--- a/review/standin/review/Endpoint.java
+++ b/review/standin/review/Endpoint.java
@@ -35,6 +35,7 @@
   private final List<Socket> sockets = new ArrayList<>();
   private ServerSocket listener;
   private SilencingProxy proxy;
+  private int inspectedPort;
 
   int applied;
   long sequence;
@@ -68,16 +69,29 @@
     return proxy;
   }
 
+  /** Puts an inspection before this backend; its entry names the inspection's address. */
+  void inspect(Inspection inspection) throws IOException {
+    inspectedPort = inspection.listen(id, listener.getLocalPort());
+    group.heartbeat(this);
+  }
+
   static void daemon(Runnable task) {
     Thread thread = new Thread(null, task, "standin", 256 * 1024);
     thread.setDaemon(true);
     thread.start();
   }
 
+  private int advertisedPort() {
+    if (inspectedPort != 0) {
+      return inspectedPort;
+    }
+    return proxy == null ? listener.getLocalPort() : proxy.port();
+  }
+
   Map<String, Object> entry() {
     return Store.body(
         "service", group.service,
-        "address", "127.0.0.1:" + (proxy == null ? listener.getLocalPort() : proxy.port()),
+        "address", "127.0.0.1:" + advertisedPort(),
         "zone", zone,
         "version", "v1",
         "slots", slots,
