--- a/review/standin/review/Client.java
+++ b/review/standin/review/Client.java
@@ -61,7 +61,7 @@
   Answer query(String id, String text) throws IOException {
     lastId = id;
     lastSentAt = Recorder.now();
-    recorder.log("%s sends %s %s", name, id, text);
+    recorder.log("%s sends %.60s %.200s", name, id, text);
     write("QUERY " + id + " " + text);
     String result = null;
     while (true) {
@@ -71,7 +71,7 @@
         throw new IOException("connection ended");
       }
       if (line.startsWith("READY")) {
-        recorder.log("%s gets for %s: %s, %s", name, id, result, line);
+        recorder.log("%s gets for %.60s: %s, %s", name, id, result, line);
         return new Answer(String.valueOf(result), line.split(" ")[1]);
       }
       if (!line.startsWith("ROW")) {
--- a/review/standin/review/Deployment.java
+++ b/review/standin/review/Deployment.java
@@ -27,12 +27,18 @@
   final Group group;
 
   Deployment(Path folder, int syncReplicas) throws Exception {
+    this(folder, syncReplicas, List.of());
+  }
+
+  /** Creates a deployment with further tenants beside the one with {@link #KEY}. */
+  Deployment(Path folder, int syncReplicas, List<Map<String, Object>> furtherTenants)
+      throws Exception {
     System.setProperty("sun.net.httpserver.nodelay", "true");
     recorder = new Recorder(folder.resolve("record.txt"));
     store.start();
     failover = new Failover(groups, recorder);
     failover.start();
-    store.write("config", "main", configuration(syncReplicas));
+    store.write("config", "main", configuration(syncReplicas, furtherTenants));
     group = new Group(SERVICE, store, recorder, syncReplicas);
     groups.put(SERVICE, group);
     String[] ids = {"i-70000001", "i-70000002", "i-70000003"};
@@ -46,7 +52,10 @@
     }
   }
 
-  private static Map<String, Object> configuration(int syncReplicas) {
+  private static Map<String, Object> configuration(
+      int syncReplicas, List<Map<String, Object>> furtherTenants) {
+    List<Map<String, Object>> tenants = new ArrayList<>(furtherTenants);
+    tenants.add(tenant("nypu920", KEY));
     return Store.body(
         "version",
         7,
@@ -74,13 +83,16 @@
             "idle_ms", 15_000,
             "tx_idle_ms", 3_000),
         "tenants",
-        List.of(
-            Store.body(
-                "name", "nypu920",
-                "api_keys", List.of(KEY),
-                "priority", 1,
-                "rate_per_s", 200,
-                "burst", 200)));
+        tenants);
+  }
+
+  static Map<String, Object> tenant(String name, String key) {
+    return Store.body(
+        "name", name,
+        "api_keys", List.of(key),
+        "priority", 1,
+        "rate_per_s", 200,
+        "burst", 200);
   }
 
   private static Map<String, Object> route(
--- a/review/standin/review/Endpoint.java
+++ b/review/standin/review/Endpoint.java
@@ -269,7 +269,7 @@
     private void query(String requestId, String query) throws IOException, InterruptedException {
       if (!requestId.equals("-")) {
         group.arrivals.putIfAbsent(requestId, Recorder.now());
-        group.recorder.log("%s reaches %s", requestId, id);
+        group.recorder.log("%.60s reaches %s", requestId, id);
       }
       String text = query;
       long afterTerm = 0;
@@ -380,7 +380,7 @@
     private void onRun(String requestId, String text) {
       boolean first = state.equals("I") || firstOfTransaction;
       firstOfTransaction = false;
-      group.recorder.log("%s runs %s %s at %s", id, requestId, text, position());
+      group.recorder.log("%s runs %.60s %.200s at %s", id, requestId, text, position());
       if (!requestId.equals("-")) {
         group.runListener.onRun(Endpoint.this, requestId, text, first);
       }
