--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -31,8 +31,8 @@
 
   private static final double MAXIMUM_SAVED_RETRIES = 20;
 
-  /** Length of a statement's text that leaves room for a position in the same message. */
-  private static final int MAXIMUM_TEXT_LENGTH_BESIDE_POSITION = 64 * 1024;
+  /** Length of a statement's id and text that leaves room for a position in the same message. */
+  private static final int MAXIMUM_LENGTH_BESIDE_POSITION = 64 * 1024;
 
   /** The reason of results that statements get because their gateway was closed. */
   public static final String CLOSED = "the gateway is closed";
@@ -361,7 +361,7 @@
    */
   private static boolean isLong(StatementRequest request) {
     return request.operation() == Operation.READ
-        && request.text().length() > MAXIMUM_TEXT_LENGTH_BESIDE_POSITION;
+        && request.requestId().length() + request.text().length() > MAXIMUM_LENGTH_BESIDE_POSITION;
   }
 
   private void startInTransaction(PendingStatement statement, OpenTransaction transaction) {
