Let endpoints remember request ids for each customer

A customer's write was answered as a duplicate, with the rows of another customer's write and without having run, when both had chosen the same Request-Id for the same database. A commit with such an id kept nothing. Cause: a call to an endpoint carried the id alone, and the endpoint compared ids of all customers, which choose them independently. Change: calls carry the customer as a field of its own, and the stand-in database keys its log by customer and id (RequestKey). Nothing is joined, so that no pair of names and ids is equal to another.

--- a/integration-tests/src/test/java/org/toucanmast/integration/DuplicateRequestTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/DuplicateRequestTest.java
@@ -50,6 +50,36 @@
     assertThat(retried.row()).isEqualTo("1");
   }
 
+  /** The second write was acknowledged with the rows of the first, and did not run. */
+  @Test
+  void should_run_the_writes_of_two_customers_that_chose_the_same_request_id() {
+    Caller first = Caller.of(SharedFleet.callerAddress(1), "clinic-norte");
+    Caller second = Caller.of(SharedFleet.callerAddress(2), "clinic-centro");
+
+    Answer one = first.write("requests", "put own-first 1", "1");
+    Answer other = second.write("requests", "put own-second 2", "1");
+    Answer repeated = first.write("requests", "put own-first 1", "1");
+
+    assertThat(one.body().getBoolean("duplicate")).isFalse();
+    assertThat(other.body().getBoolean("duplicate")).isFalse();
+    assertThat(other.row()).isEqualTo("2");
+    assertThat(repeated.body().getBoolean("duplicate")).isTrue();
+  }
+
+  /** The commit of the second transaction was taken for a repetition, and kept nothing. */
+  @Test
+  void should_commit_a_transaction_with_the_request_id_of_another_customer() {
+    Caller first = Caller.of(SharedFleet.callerAddress(1), "clinic-norte");
+    Caller second = Caller.of(SharedFleet.callerAddress(2), "clinic-centro");
+    first.write("requests", "put before-commit 1", "commit-1");
+
+    String transaction = second.begin("requests").body().getString("transaction");
+    second.step(transaction, "statements", "put in-commit 2");
+    second.post("/v1/transactions/" + transaction + "/commit", new JsonObject(), "commit-1", "");
+
+    assertThat(second.read("requests", "get in-commit", "").row()).isEqualTo("2");
+  }
+
   @Test
   void should_read_at_the_primary_after_an_unknown_outcome() throws IOException {
     Fleet fleet = SharedFleet.fleet();
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointCall.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointCall.java
@@ -7,7 +7,9 @@
  * A call on a connection to an endpoint.
  *
  * @param operation the operation that the endpoint is to perform
- * @param requestId the id of the caller's request; the endpoint stores it with a write in its log
+ * @param customer the customer that sends the request; customers choose request ids independently
+ * @param requestId the id of the caller's request; the endpoint stores it with the customer and a
+ *     write in its log, and repeats no write of the same customer and id
  * @param kind whether the statements read or write
  * @param term the group's term that this VM knows
  * @param requiresPrimary whether only the primary may run the call
@@ -15,6 +17,7 @@
  */
 public record EndpointCall(
     Operation operation,
+    String customer,
     String requestId,
     RequestKind kind,
     long term,
--- a/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointJson.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/endpoint/EndpointJson.java
@@ -26,6 +26,7 @@
     return new JsonObject()
         .put("callId", callId)
         .put("operation", jsonNameOf(call.operation()))
+        .put("customer", call.customer())
         .put("requestId", call.requestId())
         .put("kind", jsonNameOf(call.kind()))
         .put("term", call.term())
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestAttempts.java
@@ -118,6 +118,7 @@
     EndpointCall call =
         new EndpointCall(
             Operation.RUN,
+            request.principal().name(),
             request.id(),
             request.kind(),
             destination.term(),
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionManager.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionManager.java
@@ -372,7 +372,13 @@
   private static EndpointCall call(
       Operation operation, CallerRequest request, Destination destination) {
     return new EndpointCall(
-        operation, request.id(), RequestKind.WRITE, destination.term(), true, request.statements());
+        operation,
+        request.principal().name(),
+        request.id(),
+        RequestKind.WRITE,
+        destination.term(),
+        true,
+        request.statements());
   }
 
   private static <T> Future<T> refuse(Refusal refusal) {
--- a/standin/src/main/java/org/toucanmast/standin/database/EndpointStandin.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/EndpointStandin.java
@@ -39,7 +39,7 @@
   private final ReplicatedLog log = new ReplicatedLog();
   private final Map<HttpConnection, Transaction> transactions = new HashMap<>();
   private final Deque<Runnable> waitingCalls = new ArrayDeque<>();
-  private final Map<String, Integer> executionsByRequest = new HashMap<>();
+  private final Map<RequestKey, Integer> executionsByRequest = new HashMap<>();
   private EndpointSettings settings;
   private EndpointFaults faults = EndpointFaults.NONE;
   private long term;
@@ -215,7 +215,7 @@
       return switch (call.getString("operation")) {
         case "begin" -> begin(connection);
         case "continue" -> continueTransaction(connection, statements);
-        case "commit" -> commit(connection, call.getString("requestId"));
+        case "commit" -> commit(connection, RequestKey.of(call));
         case "rollback" -> rollBack(connection);
         default -> runOutsideTransaction(call, statements);
       };
@@ -234,17 +234,17 @@
       }
       return success(log.state().run(statements), log.end(), false);
     }
-    return write(call.getString("requestId"), statements);
+    return write(RequestKey.of(call), statements);
   }
 
-  private JsonObject write(String requestId, List<String> statements) throws StatementException {
-    Optional<Integer> earlierIndex = log.find(requestId);
+  private JsonObject write(RequestKey request, List<String> statements) throws StatementException {
+    Optional<Integer> earlierIndex = log.find(request);
     if (earlierIndex.isPresent()) {
       LogEntry entry = log.entries().get(earlierIndex.get() - 1);
       return success(entry.rows(), log.positionOf(earlierIndex.get()), true);
     }
-    LogEntry entry = log.write(term, requestId, statements, System.currentTimeMillis());
-    executionsByRequest.merge(requestId, 1, Integer::sum);
+    LogEntry entry = log.write(term, request, statements, System.currentTimeMillis());
+    executionsByRequest.merge(request, 1, Integer::sum);
     return success(entry.rows(), log.end(), false);
   }
 
@@ -267,12 +267,13 @@
     return success(rows, log.end(), false);
   }
 
-  private JsonObject commit(HttpConnection connection, String requestId) throws StatementException {
+  private JsonObject commit(HttpConnection connection, RequestKey request)
+      throws StatementException {
     Transaction transaction = transactions.remove(connection);
     if (transaction == null || transaction.term != term) {
       return refusal("no-transaction", "no transaction is open on this connection");
     }
-    return write(requestId, transaction.statements);
+    return write(request, transaction.statements);
   }
 
   private JsonObject rollBack(HttpConnection connection) {
@@ -301,7 +302,8 @@
       entries.add(
           new JsonObject()
               .put("term", entry.term())
-              .put("requestId", entry.requestId())
+              .put("customer", entry.request().customer())
+              .put("requestId", entry.request().requestId())
               .put("statements", new JsonArray(entry.statements())));
     }
     long repeatedRequests =
--- a/standin/src/main/java/org/toucanmast/standin/database/ReplicatedLog.java
+++ b/standin/src/main/java/org/toucanmast/standin/database/ReplicatedLog.java
@@ -12,7 +12,7 @@
 /** The log of one endpoint, and the key-value state after its last entry. Indexes start at 1. */
 final class ReplicatedLog {
   private final List<LogEntry> entries = new ArrayList<>();
-  private final Map<String, Integer> indexOfRequest = new HashMap<>();
+  private final Map<RequestKey, Integer> indexOfRequest = new HashMap<>();
   private final List<Position> termStarts = new ArrayList<>();
   private KeyValueState state = new KeyValueState();
 
@@ -41,8 +41,8 @@
   }
 
   /** Returns the index of the entry of a request, if the log has it. */
-  Optional<Integer> find(String requestId) {
-    return Optional.ofNullable(indexOfRequest.get(requestId));
+  Optional<Integer> find(RequestKey request) {
+    return Optional.ofNullable(indexOfRequest.get(request));
   }
 
   /**
@@ -51,10 +51,10 @@
    * @param now the current time in milliseconds since the epoch
    * @throws StatementException if a statement is invalid; then the log is unchanged
    */
-  LogEntry write(long term, String requestId, List<String> statements, long now)
+  LogEntry write(long term, RequestKey request, List<String> statements, long now)
       throws StatementException {
     List<String> rows = state.run(statements);
-    LogEntry entry = new LogEntry(term, requestId, statements, rows, now);
+    LogEntry entry = new LogEntry(term, request, statements, rows, now);
     append(entry);
     return entry;
   }
@@ -71,7 +71,7 @@
 
   private void append(LogEntry entry) {
     entries.add(entry);
-    indexOfRequest.put(entry.requestId(), entries.size());
+    indexOfRequest.put(entry.request(), entries.size());
     boolean isFirstOfTerm =
         termStarts.isEmpty() || termStarts.get(termStarts.size() - 1).term() < entry.term();
     if (isFirstOfTerm) {
