--- a/core/src/main/java/org/toucanmast/core/configuration/Route.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/Route.java
@@ -1,5 +1,7 @@
 package org.toucanmast.core.configuration;
 
+import java.util.Optional;
+
 /**
  * A public route: a read that callers may send without an API key.
  *
@@ -15,4 +17,13 @@
   public String allowanceName() {
     return "route:" + name;
   }
+
+  /**
+   * Returns the statement that reads a key, or empty if the key is not one word: the endpoint would
+   * read another statement.
+   */
+  public Optional<String> readStatement(String key) {
+    boolean isWord = !key.isEmpty() && key.chars().allMatch(character -> character > ' ');
+    return isWord ? Optional.of("get " + prefix + key) : Optional.empty();
+  }
 }
--- a/integration-tests/src/test/java/org/toucanmast/integration/AccessTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/AccessTest.java
@@ -11,6 +11,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.toucanmast.integration.Caller.Answer;
 import org.toucanmast.standin.fleet.Fleet;
 
@@ -38,6 +40,29 @@
     assertThat(anonymous.get("/v1/routes/nothing/accra").status()).isEqualTo(404);
   }
 
+  /** The encoded form of a key was read as another key. */
+  @Test
+  void should_read_the_key_that_an_anonymous_caller_has_encoded() {
+    Caller.of(SharedFleet.callerAddress(1), "union-accra")
+        .write("timetables", "put public-größe/a%20b 0715", "");
+    Caller anonymous = new Caller(SharedFleet.callerAddress(2), "");
+
+    assertThat(anonymous.get("/v1/routes/timetable/gr%C3%B6%C3%9Fe%2Fa%2520b").row())
+        .isEqualTo("0715");
+    assertThat(anonymous.get("/v1/routes/time%74able/gr%c3%b6%c3%9fe%2fa%2520b").row())
+        .isEqualTo("0715");
+  }
+
+  /** A blank would end the key in the statement that the proxy sends. */
+  @ParameterizedTest
+  @ValueSource(strings = {"a%20b", "%20", "a%0Ab", "a%0D%0Ab", "a%00", "a%09b", "%ff", "%C0%AF"})
+  void should_refuse_a_key_of_an_anonymous_caller_that_is_not_one_word(String key) {
+    Answer answer = new Caller(SharedFleet.callerAddress(2), "").get("/v1/routes/timetable/" + key);
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.outcome()).isEqualTo("not-run");
+  }
+
   @Test
   void should_refuse_requests_outside_opening_hours() throws IOException {
     Fleet fleet = SharedFleet.fleet();
--- a/integration-tests/src/test/java/org/toucanmast/integration/TransactionTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/TransactionTest.java
@@ -66,6 +66,16 @@
         .isEqualTo("1");
   }
 
+  /** Callers whose URL library encodes "~" could not continue their transactions. */
+  @Test
+  void should_continue_a_transaction_whose_handle_is_percent_encoded() {
+    Caller caller = Caller.of(SharedFleet.callerAddress(1), "bench-1");
+    String transaction = begin(caller).replace("~", "%7E");
+
+    assertThat(caller.step(transaction, "statements", "put encoded 1").outcome()).isEqualTo("ran");
+    assertThat(caller.step(transaction, "commit").outcome()).isEqualTo("ran");
+  }
+
   @Test
   void should_hide_a_transaction_from_other_customers() {
     String transaction = begin(Caller.of(SharedFleet.callerAddress(1), "bench-1"));
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/CallerServer.java
@@ -259,12 +259,16 @@
     if (route == null) {
       throw new RefusedException(Refusal.NOT_FOUND);
     }
+    Optional<String> statement = route.readStatement(key);
+    if (statement.isEmpty()) {
+      throw new RefusedException(Refusal.MALFORMED, "the key must be one word");
+    }
     CallerRequest parsed =
         parser.createRouteRead(
             request,
             new Principal(route.allowanceName(), ""),
             route.database(),
-            "get " + route.prefix() + key,
+            statement.get(),
             route.maximumAge(),
             arrivedAt);
     return respond(request, parsed, service.run(parsed));
