Send peers no message that their links do not accept

A long step of a transaction, or a long answer to one, ended steps and commits of other callers with an unknown outcome: with the default limits 20 rows of 60 KB are enough, since a link takes 1 MiB. Cause: a VM sent messages of any length; the receiver closes the link on one that exceeds maximum-message-size, and fails all that was under way on it. A configuration above the limit closed the link at each pull. Change: PeerNetwork refuses to queue such a message and reports each kind once. A step that is too long is refused at once with 413, not run; in place of an answer that is too long, the transaction's VM returns an unknown outcome with the reason, and the transaction stays open.

--- a/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/peer/PeerNetwork.java
@@ -22,11 +22,14 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -43,6 +46,7 @@
  * heartbeats and token requests are repeated, and forwarded requests time out.
  */
 public final class PeerNetwork {
+  private static final Logger log = System.getLogger(PeerNetwork.class.getName());
   private static final int LENGTH_FIELD_SIZE_IN_BYTES = 4;
   private static final int CONNECT_TIMEOUT_IN_MILLISECONDS = 1_000;
   private static final long RECONNECT_INTERVAL_IN_MILLISECONDS = 200;
@@ -64,6 +68,10 @@
   private final Map<String, Channel> channelsByVm = new HashMap<>();
   private final Map<String, ChannelFuture> lastWritesByVm = new HashMap<>();
   private final Set<String> connectingOrConnected = new HashSet<>();
+
+  /** The kinds of messages of which one was too long; the log names each kind once. */
+  private final Set<PeerMessage.BodyCase> reportedAsTooLong = ConcurrentHashMap.newKeySet();
+
   private final Set<String> ownAddresses = new HashSet<>();
   private Set<String> targetAddresses = Set.of();
 
@@ -123,8 +131,31 @@
     targetUpdates.offer(Set.copyOf(addresses));
   }
 
-  /** Queues a message to a VM; returns false when the queue is full. */
+  /**
+   * Returns whether links accept a message of this length. A receiver closes the link on a longer
+   * one, and all that is under way on the link is lost.
+   */
+  public boolean accepts(PeerMessage message) {
+    return message.getSerializedSize() + LENGTH_FIELD_SIZE_IN_BYTES
+        <= settings.getMaximumMessageSize();
+  }
+
+  /**
+   * Queues a message to a VM; returns false when the queue is full or links do not accept the
+   * message.
+   */
   public boolean send(String vm, PeerMessage message) {
+    if (!accepts(message)) {
+      counters.onDropped();
+      if (reportedAsTooLong.add(message.getBodyCase())) {
+        log.log(
+            Level.ERROR,
+            "message {0} of {1} bytes is not sent: expected at most maximum-message-size",
+            message.getBodyCase(),
+            message.getSerializedSize());
+      }
+      return false;
+    }
     return outgoing.offer(new Outgoing(vm, message));
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionForwarder.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionForwarder.java
@@ -33,6 +33,7 @@
 
   private final BiPredicate<String, PeerMessage> sendToPeer;
   private final Function<TransactionRequest, Future<CallerAnswer>> runLocally;
+  private final Predicate<PeerMessage> fitsLink;
   private final LongSupplier clock;
   private final Map<Long, PendingStep> pendingSteps = new HashMap<>();
   private long nextForwardId = 1;
@@ -43,14 +44,17 @@
    *
    * @param sendToPeer sends a message to a peer; returns false if it could not be sent
    * @param runLocally runs a step of a transaction that this VM owns
+   * @param fitsLink returns whether a message is short enough to be sent to a peer
    * @param clock the monotonic clock, in nanoseconds
    */
   public TransactionForwarder(
       BiPredicate<String, PeerMessage> sendToPeer,
       Function<TransactionRequest, Future<CallerAnswer>> runLocally,
+      Predicate<PeerMessage> fitsLink,
       LongSupplier clock) {
     this.sendToPeer = sendToPeer;
     this.runLocally = runLocally;
+    this.fitsLink = fitsLink;
     this.clock = clock;
   }
 
@@ -78,9 +82,15 @@
             .addAllStatements(request.statements())
             .setRemaining(request.deadline() - clock.getAsLong())
             .build();
+    PeerMessage envelope = PeerMessage.newBuilder().setForwardRequest(message).build();
+    if (!fitsLink.test(envelope)) {
+      return fail(
+          new RefusedException(
+              Refusal.TOO_LARGE, "the step is too long to be passed on to the transaction's VM"),
+          request.token());
+    }
     Promise<CallerAnswer> promise = Promise.promise();
     pendingSteps.put(forwardId, new PendingStep(promise, step, request.deadline()));
-    PeerMessage envelope = PeerMessage.newBuilder().setForwardRequest(message).build();
     if (!sendToPeer.test(step.handle().vm(), envelope)) {
       pendingSteps.remove(forwardId);
       return fail(new RefusedException(Refusal.UNAVAILABLE), request.token());
@@ -188,8 +198,20 @@
   }
 
   private void reply(String peer, long forwardId, ForwardReply.Builder reply) {
-    sendToPeer.test(
-        peer, PeerMessage.newBuilder().setForwardReply(reply.setForwardId(forwardId)).build());
+    PeerMessage message = replyMessage(forwardId, reply);
+    if (!fitsLink.test(message)) {
+      RefusedException refused =
+          new RefusedException(
+              Refusal.OUTCOME_UNKNOWN,
+              "the answer is too long to be passed on by the transaction's VM");
+      SessionToken token = tokenOf(reply.getSessionToken());
+      message = replyMessage(forwardId, failureReply(new RequestFailure(refused, token)));
+    }
+    sendToPeer.test(peer, message);
+  }
+
+  private static PeerMessage replyMessage(long forwardId, ForwardReply.Builder reply) {
+    return PeerMessage.newBuilder().setForwardReply(reply.setForwardId(forwardId)).build();
   }
 
   private static ForwardReply.Builder answerReply(CallerAnswer answer) {
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
@@ -173,7 +173,9 @@
             stop);
     long idleTimeoutInNanoseconds = settings.getDatabases().getTransactionIdleTimeout();
     transactionManager = new TransactionManager(self, requestProcessor, idleTimeoutInNanoseconds);
-    transactionForwarder = new TransactionForwarder(this::sendToPeer, this::runLocally, clock);
+    transactionForwarder =
+        new TransactionForwarder(
+            this::sendToPeer, this::runLocally, message -> network.accepts(message), clock);
     callerServer =
         new CallerServer(
             vertx, settings.getCallers(), configuration, accessControl, this, metrics, clock, stop);
