Limit what sessions keep of their callers' values and statements

Callers of a VM got no answer any more after one session had prepared 156 MB under ever more names. Cause: a session kept every value and prepared statement without a limit. Change: SessionVariables moves to core and counts its texts and 256 characters an entry: at most 1,088 Ki of values and 2 Mi of statements a session, TOOBIG beyond it; one message of the maximum length fits. All sessions of a VM share a fifth of the heap (SessionStateBudget), BUSY beyond it, but the first 2 Ki of each session are not refused, so that large sessions refuse no usual one. Dropped and replaced entries and ended sessions are given back; a refused replacement keeps the former entry.

--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -4,11 +4,11 @@
 import io.vertx.core.net.NetSocket;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.catalog.Route;
 import org.toucanmast.core.group.Position;
+import org.toucanmast.core.session.SessionVariables;
 import org.toucanmast.core.statement.Access;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.PreparedShape;
@@ -33,7 +33,7 @@
   private final SessionWriter writer;
   private final SessionInput input;
   private final Runnable onClosed;
-  private final SessionVariables variables = new SessionVariables();
+  private final SessionVariables variables;
   private SessionAccess access;
   private Optional<RunningStatement> running = Optional.empty();
   private boolean ended;
@@ -52,6 +52,7 @@
     this.socket = socket;
     this.writer = new SessionWriter(context, socket);
     this.input = new SessionInput(context.dialect().decoder());
+    this.variables = new SessionVariables(context.stateBudget());
     this.onClosed = onClosed;
     socket.handler(this::onBytes);
     socket.closeHandler(
@@ -98,10 +99,7 @@
       closeWith(context.dialect().refusal(ResultCode.MALFORMED, "the session is open already"));
       return;
     }
-    Optional<SessionAccess.Refusal> refusal =
-        context.stopPhase().closesIdleSessions()
-            ? Optional.of(new SessionAccess.Refusal(ResultCode.BUSY, StopPhase.REASON))
-            : SessionAccess.refusalOf(context.catalog(), open.database(), open.key());
+    Optional<SessionAccess.Refusal> refusal = SessionAccess.refusalOf(context, open);
     if (refusal.isPresent()) {
       writer.logRefusedSession(refusal.get().code());
       closeWith(context.dialect().refusal(refusal.get().code(), refusal.get().reason()));
@@ -151,10 +149,13 @@
   private void handleSessionStatement(String requestId, Statement statement) {
     if (statement instanceof Statement.Invalid invalid) {
       refuse(requestId, invalid.code(), invalid.reason());
-    } else if (variables.apply(statement)) {
+      return;
+    }
+    ResultCode code = variables.apply(statement);
+    if (code == ResultCode.SUCCESS) {
       writeSuccess();
     } else {
-      refuse(requestId, ResultCode.NO_STATEMENT, "no prepared statement of that name");
+      refuse(requestId, code, SessionVariables.reason(code));
     }
   }
 
@@ -205,7 +206,8 @@
   private void execute(String requestId, Statement.Execute execute) {
     Optional<PreparedShape> shape = variables.prepared(execute.name());
     if (shape.isEmpty()) {
-      refuse(requestId, ResultCode.NO_STATEMENT, "no prepared statement of that name");
+      ResultCode code = ResultCode.NO_STATEMENT;
+      refuse(requestId, code, SessionVariables.reason(code));
     } else {
       run(requestId, shape.get().access(), execute.arguments(), shape);
     }
@@ -302,15 +304,14 @@
   /** Rolls back a transaction that a statement opened after its session had ended. */
   private void rollBackAbandoned(
       StatementRequest request, StatementResult result, GatewayLocation location) {
-    if (result.isSuccess() && result.transaction() != StatementRequest.NO_TRANSACTION) {
-      Optional<Route> route = access.route();
-      if (route.isPresent()) {
-        Customer customer = SessionAccess.customerOf(request);
-        transaction =
-            new SessionTransaction(route.get(), customer, false)
-                .openAt(location, result.transaction());
-        rollBackAtGateway();
-      }
+    Optional<Route> route = access.route();
+    boolean opened = result.isSuccess() && result.transaction() != StatementRequest.NO_TRANSACTION;
+    if (opened && route.isPresent()) {
+      Customer customer = SessionAccess.customerOf(request);
+      transaction =
+          new SessionTransaction(route.get(), customer, false)
+              .openAt(location, result.transaction());
+      rollBackAtGateway();
     }
   }
 
@@ -336,20 +337,19 @@
       String text,
       Optional<PreparedShape> shape,
       SessionTransaction owner) {
-    OptionalLong objectiveLeft =
-        context.schedulesByObjective()
-            ? OptionalLong.of(owner.objective().left(receivedAt, context.clock().now()))
-            : OptionalLong.empty();
     return context.limitedByStop(
         owner.request(
-            requestId, operation, text, shape, variables.values(), lastCommitted, objectiveLeft));
+            requestId,
+            operation,
+            text,
+            shape,
+            variables.values(),
+            lastCommitted,
+            context.objectiveLeft(owner.objective(), receivedAt)));
   }
 
   private TransactionState state() {
-    if (transaction == null) {
-      return TransactionState.NONE;
-    }
-    return transaction.hasFailed() ? TransactionState.FAILED : TransactionState.OPEN;
+    return transaction == null ? TransactionState.NONE : transaction.state();
   }
 
   private void writeSuccess() {
@@ -358,8 +358,7 @@
 
   private void answer(
       StatementRequest request, StatementResult result, long startedAt, TransactionState state) {
-    long elapsed = context.clock().now() - startedAt;
-    writer.answer(request, result, access.database(), elapsed, state, lastCommitted);
+    writer.answer(request, result, access.database(), startedAt, state, lastCommitted);
     handlePending();
   }
 
@@ -412,8 +411,7 @@
     }
     ResultCode code = request.operation().resultWhenAnswerIsLost();
     StatementResult result = StatementResult.failure(code, StopPhase.REASON);
-    long elapsed = context.clock().now() - statement.since();
-    writer.answer(request, result, access.database(), elapsed, state(), lastCommitted);
+    writer.answer(request, result, access.database(), statement.since(), state(), lastCommitted);
   }
 
   /** Returns the statement that has been received and not been answered. */
@@ -446,5 +444,6 @@
     if (running.isEmpty()) {
       rollBackAtGateway();
     }
+    variables.clear();
   }
 }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
@@ -9,6 +9,8 @@
 import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.stop.StopPhase;
+import org.toucanmast.runtime.port.CallerMessage;
 
 /** What a session may use: the database and the key that it was opened with. */
 final class SessionAccess {
@@ -33,8 +35,15 @@
     this.key = key;
   }
 
+  /** Returns why a session is not opened; empty if it is. */
+  static Optional<Refusal> refusalOf(SessionContext context, CallerMessage.Open open) {
+    return context.stopPhase().closesIdleSessions()
+        ? Optional.of(new Refusal(ResultCode.BUSY, StopPhase.REASON))
+        : refusalOf(context.catalog(), open.database(), open.key());
+  }
+
   /** Returns why a key may not use a database; empty if it may. */
-  static Optional<Refusal> refusalOf(Catalog catalog, String database, String key) {
+  private static Optional<Refusal> refusalOf(Catalog catalog, String database, String key) {
     Optional<Route> route = catalog.route(database);
     if (route.isEmpty()) {
       return Optional.of(new Refusal(ResultCode.NO_DATABASE, "no such database"));
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
@@ -2,10 +2,13 @@
 
 import io.vertx.core.Vertx;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.feature.Feature;
+import org.toucanmast.core.scheduling.OperationObjective;
+import org.toucanmast.core.session.SessionStateBudget;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.stop.StopPhase;
 import org.toucanmast.core.stop.StopSchedule;
@@ -15,6 +18,12 @@
 
 /** The components and the state that all sessions of a VM share. */
 final class SessionContext {
+  /**
+   * The part of the heap that sessions may fill with what they keep, one character a byte: a fifth
+   * leaves room for the copies that statements and links make of it.
+   */
+  private static final long HEAP_SHARE_OF_SESSION_STATE = 5;
+
   private final Vertx vertx;
   private final CallerDialect dialect;
   private final VmClock clock;
@@ -22,6 +31,8 @@
   private final StatementSender sender;
   private final SessionAllowances allowances;
   private final SessionMetrics metrics;
+  private final SessionStateBudget stateBudget =
+      new SessionStateBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE_OF_SESSION_STATE);
   private Catalog catalog = Catalog.EMPTY;
   private Supplier<String> mirrorAges = () -> "";
   private boolean schedulesByObjective;
@@ -73,6 +84,11 @@
     return metrics;
   }
 
+  /** Returns the limit of what all sessions of this VM keep for their callers. */
+  SessionStateBudget stateBudget() {
+    return stateBudget;
+  }
+
   Catalog catalog() {
     return catalog;
   }
@@ -90,9 +106,15 @@
     mirrorAges = newMirrorAges;
   }
 
-  /** Returns whether statements carry what is left of the objective of their operation. */
-  boolean schedulesByObjective() {
-    return schedulesByObjective;
+  /**
+   * Returns what is left of an objective, in milliseconds; empty if statements do not carry it.
+   *
+   * @param receivedAt when the statement was received
+   */
+  OptionalLong objectiveLeft(OperationObjective objective, long receivedAt) {
+    return schedulesByObjective
+        ? OptionalLong.of(objective.left(receivedAt, clock.now()))
+        : OptionalLong.empty();
   }
 
   /** Sets the parts of the product that are switched on. */
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionTransaction.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionTransaction.java
@@ -10,6 +10,7 @@
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.PreparedShape;
 import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.TransactionState;
 
 /**
  * The transaction of a session.
@@ -43,6 +44,10 @@
         false);
   }
 
+  TransactionState state() {
+    return hasFailed ? TransactionState.FAILED : TransactionState.OPEN;
+  }
+
   boolean isOpenAtGateway() {
     return handle != StatementRequest.NO_TRANSACTION;
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
@@ -68,20 +68,21 @@
    * answered at the stop before its gateway did, is dropped.
    *
    * @param database the database name of the route
-   * @param durationInMilliseconds how long the statement took
+   * @param startedAt when the statement was started, on the steady clock in milliseconds
    * @param lastCommitted the newest position that the session's own commits reached
    */
   void answer(
       StatementRequest request,
       StatementResult result,
       String database,
-      long durationInMilliseconds,
+      long startedAt,
       TransactionState state,
       Position lastCommitted) {
     if (request == lastAnswered) {
       return;
     }
     lastAnswered = request;
+    long durationInMilliseconds = context.clock().now() - startedAt;
     context
         .metrics()
         .onResult(request.customer(), request.kind(), result.code(), durationInMilliseconds);
