Export the customer of a metric as a label

/metrics answered with an error, without any metric, as soon as two customers such as a-b and a_b had each sent a request, or a and a-info. Cause: the customer's name was joined into the name of the metric, which has fewer characters and loses some endings; the export fails on equal names.

--- a/runtime/src/main/java/org/toucanmast/runtime/metrics/AdminServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/AdminServer.java
@@ -4,6 +4,8 @@
 import com.google.common.net.HostAndPort;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
+import io.prometheus.metrics.model.registry.MultiCollector;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
@@ -11,6 +13,7 @@
 import io.vertx.core.json.JsonObject;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -21,24 +24,36 @@
   private static final int UNAVAILABLE = 503;
 
   private final HostAndPort address;
-  private final MetricRegistry registry;
+  private final List<MultiCollector> metrics;
   private final BooleanSupplier ready;
   private final Supplier<Future<JsonObject>> status;
 
+  /** Creates a server that does not listen yet and exports the metrics of a registry only. */
+  public AdminServer(
+      String address,
+      MetricRegistry registry,
+      BooleanSupplier ready,
+      Supplier<Future<JsonObject>> status) {
+    this(address, registry, MetricSnapshots::of, ready, status);
+  }
+
   /**
    * Creates a server that does not listen yet.
    *
    * @param address IP address and port to listen on
+   * @param registry the metrics without labels
+   * @param labelledMetrics collects the metrics with labels
    * @param ready whether load balancers may send callers to this VM
    * @param status the report of what this VM knows about the fleet
    */
   public AdminServer(
       String address,
       MetricRegistry registry,
+      MultiCollector labelledMetrics,
       BooleanSupplier ready,
       Supplier<Future<JsonObject>> status) {
     this.address = HostAndPort.fromString(address);
-    this.registry = registry;
+    this.metrics = List.of(new DropwizardExports(registry), labelledMetrics);
     this.ready = ready;
     this.status = status;
   }
@@ -71,7 +86,9 @@
   private void answerMetrics(HttpServerRequest request) {
     ByteArrayOutputStream text = new ByteArrayOutputStream();
     try {
-      PrometheusTextFormatWriter.create().write(text, new DropwizardExports(registry).collect());
+      MetricSnapshots.Builder snapshots = MetricSnapshots.builder();
+      metrics.forEach(collector -> collector.collect().forEach(snapshots::metricSnapshot));
+      PrometheusTextFormatWriter.create().write(text, snapshots.build());
       request
           .response()
           .putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/EntryVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/EntryVm.java
@@ -77,6 +77,7 @@
         new AdminServer(
             settings.getCallers().getAdminAddress(),
             registry,
+            requestService.metrics(),
             requestService::isReady,
             requestService::status);
     await(vertx.deployVerticle(admin), "the listener for health and metrics");
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
@@ -212,6 +212,10 @@
         });
   }
 
+  RequestMetrics metrics() {
+    return metrics;
+  }
+
   FleetManager fleetManager() {
     return fleetManager;
   }
