--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -215,7 +215,9 @@
     boolean withinRetryBudget =
         code == ResultCode.LAGGING || code == ResultCode.READ_ONLY || retryBudget.tryTakeRetry();
     if (!mayAttemptAgain || !withinRetryBudget) {
-      statement.fail(code == ResultCode.SUCCESS ? ResultCode.BUSY : code, "no attempt is left");
+      // A caller knows its prepared statements; one that only the endpoint lacks has not run.
+      boolean isInternal = code == ResultCode.SUCCESS || code == ResultCode.NO_STATEMENT;
+      statement.fail(isInternal ? ResultCode.BUSY : code, "no attempt is left");
       return;
     }
     if (code == ResultCode.LAGGING) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -188,6 +188,9 @@
   private void onBytes(Buffer bytes) {
     try {
       for (EndpointReply reply : decoder.feed(bytes)) {
+        if (closed) {
+          return;
+        }
         PendingReply next = pendingReplies.pollFirst();
         if (next == null) {
           throw new DialectException("reply without a pending command");
