Pause reading from callers that send far ahead instead of closing their sessions

A caller that sent more than 64 statements ahead was closed with MALFORMED and got no answer to any of them; one with long statements could have 64 MiB held. Cause: what waits was limited by the number of messages alone, by a refusal. Evidence: on should_answer_many_statements_that_were_sent_ahead fails; the two other tests of PipelinedStatementsTest pass before and after. Change: while more than 64 messages or 64 KiB wait, the connection is not read (SessionInput), and neither while the write queue is full; SessionReading joins both reasons, which resumed each other's pause otherwise.

--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -29,7 +29,6 @@
  */
 final class CallerSession {
   private final SessionContext context;
-  private final NetSocket socket;
   private final SessionWriter writer;
   private final SessionInput input;
   private final Runnable onClosed;
@@ -49,9 +48,10 @@
    */
   CallerSession(SessionContext context, NetSocket socket, Runnable onClosed) {
     this.context = context;
-    this.socket = socket;
-    this.writer = new SessionWriter(context, socket);
-    this.input = new SessionInput(context.dialect().decoder());
+    SessionReading reading =
+        new SessionReading(socket, action -> context.vertx().runOnContext(now -> action.run()));
+    this.writer = new SessionWriter(context, socket, reading);
+    this.input = new SessionInput(context.dialect().decoder(), reading);
     this.variables = new SessionVariables(context.stateBudget());
     this.onClosed = onClosed;
     socket.handler(this::onBytes);
@@ -88,6 +88,7 @@
         query(query);
       }
     }
+    input.resumeIfEmpty();
     if (refusesLateStatements) {
       refuseUnstarted();
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionWriter.java
@@ -18,23 +18,23 @@
 
   private final SessionContext context;
   private final NetSocket socket;
+  private final SessionReading reading;
   private Future<Void> lastWrite = Future.succeededFuture();
-  private boolean inputMayBeUnread;
   private boolean resultsDiscarded;
   private StatementRequest lastAnswered;
 
-  SessionWriter(SessionContext context, NetSocket socket) {
+  SessionWriter(SessionContext context, NetSocket socket, SessionReading reading) {
     this.context = context;
     this.socket = socket;
+    this.reading = reading;
   }
 
   /** Writes bytes; pauses reading from the caller while the write queue is full. */
   void write(Buffer bytes) {
     lastWrite = socket.write(bytes);
     if (socket.writeQueueFull()) {
-      inputMayBeUnread = true;
-      socket.pause();
-      socket.drainHandler(drained -> socket.resume());
+      reading.setOutputFull(true);
+      socket.drainHandler(drained -> reading.setOutputFull(false));
     }
   }
 
@@ -48,9 +48,8 @@
         done -> {
           if (awaited != lastWrite) {
             closeAfterWrites();
-          } else if (inputMayBeUnread && done.succeeded()) {
+          } else if (done.succeeded() && reading.takeInputMayBeUnread()) {
             // Closing a connection with unread input resets it, and the last answers are lost.
-            inputMayBeUnread = false;
             context.vertx().setTimer(READING_TIME_IN_MILLISECONDS, fired -> closeAfterWrites());
           } else {
             socket.close();
