Cut long values in log lines

A caller whose request ids have nearly 1 MiB gets log lines of that length, of which 2,048 may wait for the writer, more than the heap. Cause: a line was expected to have 200 bytes, and its fields were of any length. Evidence: should_cut_long_values failed before: the line had 1,000,000 characters. Change: a value is cut after 4,000 characters, and its length is given.

--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
@@ -27,6 +27,9 @@
   /** Maximum number of lines that wait for the writer thread; a line has about 200 bytes. */
   private static final int QUEUE_CAPACITY = 2_048;
 
+  /** Length to which texts of callers and endpoints, such as request ids of 1 MiB, are cut. */
+  private static final int MAXIMUM_VALUE_LENGTH = 4_000;
+
   private static final Set<String> COMMON_FIELDS = Set.of("time", "vm", "kind", "event");
 
   private static final long MILLISECONDS_PER_SECOND = 1_000;
@@ -133,7 +136,11 @@
     } else if (value instanceof Boolean flag) {
       line.writeBoolean(flag);
     } else {
-      line.writeString(String.valueOf(value));
+      String text = String.valueOf(value);
+      line.writeString(
+          text.length() <= MAXIMUM_VALUE_LENGTH
+              ? text
+              : text.substring(0, MAXIMUM_VALUE_LENGTH) + "… (" + text.length() + " characters)");
     }
   }
 
--- a/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
@@ -111,4 +111,18 @@
 
     log.flush(50);
   }
+
+  /** Lines with request ids of nearly 1 MiB could fill the heap while they wait for the writer. */
+  @Test
+  void should_cut_long_values() {
+    BlockedOutputStream out = new BlockedOutputStream();
+    out.unblocked.countDown();
+    new EventLog("vm-1", out)
+        .log(EventKind.REQUEST_FAILED, "failed", "request", "x".repeat(1_000_000));
+
+    await().untilAsserted(() -> assertThat(out.text()).endsWith("\n"));
+    assertThat(out.text())
+        .hasSizeLessThan(5_000)
+        .contains("\"" + "x".repeat(4_000) + "… (1000000 characters)\"");
+  }
 }
