Count the keys of sessions in the budget of what all sessions keep

A caller could fill the heap of a VM with sessions on an open route, each with an unknown key of up to 1 MiB. Cause: the key is kept for the session, since it may become known, and was not counted with the values and prepared statements. Change: SessionVariables counts it; a session beyond the budget is refused with BUSY at its START. No run with a real heap was made.

--- a/core/src/main/java/org/toucanmast/core/session/SessionVariables.java
+++ b/core/src/main/java/org/toucanmast/core/session/SessionVariables.java
@@ -8,7 +8,8 @@
 import org.toucanmast.core.statement.Statement;
 
 /**
- * The values and the prepared statements of a session, which last until it ends.
+ * The values and the prepared statements of a session, which last until it ends, and the length of
+ * the key that it was opened with.
  *
  * <p>Answers the load of a caller that sets and prepares ever more: each session has limits, and
  * all sessions of a VM share a budget.
@@ -34,12 +35,27 @@
   private final Map<String, PreparedShape> prepared = new HashMap<>();
   private long lengthOfValues;
   private long lengthOfStatements;
+  private long lengthOfKey;
 
   /** Creates the empty state of a session, which shares a budget with the others of its VM. */
   public SessionVariables(SessionStateBudget budget) {
     this.budget = budget;
   }
 
+  /**
+   * Counts the key of the session, which is kept although it may be unknown, on open routes: it may
+   * become known.
+   *
+   * @return whether the budget of all sessions allows it
+   */
+  public boolean keepKey(String key) {
+    if (!budget.change(length(), length() + key.length())) {
+      return false;
+    }
+    lengthOfKey = key.length();
+    return true;
+  }
+
   /**
    * Applies a statement that sets a value, prepares a statement, or drops a prepared one.
    *
@@ -96,8 +112,8 @@
   }
 
   private boolean changeLength(long newLengthOfValues, long newLengthOfStatements) {
-    long before = lengthOfValues + lengthOfStatements;
-    if (!budget.change(before, newLengthOfValues + newLengthOfStatements)) {
+    long after = lengthOfKey + newLengthOfValues + newLengthOfStatements;
+    if (!budget.change(length(), after)) {
       return false;
     }
     lengthOfValues = newLengthOfValues;
@@ -105,6 +121,10 @@
     return true;
   }
 
+  private long length() {
+    return lengthOfKey + lengthOfValues + lengthOfStatements;
+  }
+
   private long lengthOfPrepared(String name) {
     PreparedShape shape = prepared.get(name);
     return lengthOf(name, shape == null ? null : shape.shape());
@@ -120,7 +140,7 @@
     return switch (code) {
       case NO_STATEMENT -> "no prepared statement of that name";
       case TOO_BIG -> "the values or prepared statements of the session are too long";
-      case BUSY -> "the values and prepared statements of all sessions are too long";
+      case BUSY -> "the keys, values and prepared statements of all sessions are too long";
       default -> throw new IllegalArgumentException("no reason of a session's state: " + code);
     };
   }
@@ -139,6 +159,9 @@
   public void clear() {
     values.clear();
     prepared.clear();
-    changeLength(0, 0);
+    budget.change(length(), 0);
+    lengthOfKey = 0;
+    lengthOfValues = 0;
+    lengthOfStatements = 0;
   }
 }
--- a/core/src/test/java/org/toucanmast/core/session/SessionVariablesTest.java
+++ b/core/src/test/java/org/toucanmast/core/session/SessionVariablesTest.java
@@ -84,6 +84,23 @@
     assertThat(session.apply(prepare("s2", (int) MEBI))).isEqualTo(ResultCode.SUCCESS);
   }
 
+  /** Sessions on open routes kept unknown keys of up to 1 MiB, which filled the heap as well. */
+  @Example
+  void should_refuse_ever_more_sessions_with_long_keys() {
+    List<SessionVariables> sessions = new ArrayList<>();
+    for (int number = 0; number < 100; number++) {
+      SessionVariables opened = new SessionVariables(budget);
+      if (opened.keepKey("x".repeat((int) MEBI))) {
+        sessions.add(opened);
+      }
+    }
+    assertThat(sessions).hasSize(32);
+    assertThat(session.keepKey("u3f1")).isTrue();
+
+    sessions.forEach(SessionVariables::clear);
+    assertThat(budget.length()).isEqualTo("u3f1".length());
+  }
+
   @Example
   void should_keep_the_former_entry_when_its_replacement_is_refused() {
     session.apply(set("v", 10));
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -100,7 +100,7 @@
       closeWith(context.dialect().refusal(ResultCode.MALFORMED, "the session is open already"));
       return;
     }
-    Optional<SessionAccess.Refusal> refusal = SessionAccess.refusalOf(context, open);
+    Optional<SessionAccess.Refusal> refusal = SessionAccess.refusalOf(context, open, variables);
     if (refusal.isPresent()) {
       writer.logRefusedSession(refusal.get().code());
       closeWith(context.dialect().refusal(refusal.get().code(), refusal.get().reason()));
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
@@ -7,6 +7,7 @@
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.catalog.Route;
 import org.toucanmast.core.configuration.Allowance;
+import org.toucanmast.core.session.SessionVariables;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.stop.StopPhase;
@@ -35,11 +36,17 @@
     this.key = key;
   }
 
-  /** Returns why a session is not opened; empty if it is. */
-  static Optional<Refusal> refusalOf(SessionContext context, CallerMessage.Open open) {
-    return context.stopPhase().closesIdleSessions()
-        ? Optional.of(new Refusal(ResultCode.BUSY, StopPhase.REASON))
-        : refusalOf(context.catalog(), open.database(), open.key());
+  /** Returns why a session is not opened, whose key would be kept; empty if it is opened. */
+  static Optional<Refusal> refusalOf(
+      SessionContext context, CallerMessage.Open open, SessionVariables variables) {
+    if (context.stopPhase().closesIdleSessions()) {
+      return Optional.of(new Refusal(ResultCode.BUSY, StopPhase.REASON));
+    }
+    Optional<Refusal> refusal = refusalOf(context.catalog(), open.database(), open.key());
+    if (refusal.isEmpty() && !variables.keepKey(open.key())) {
+      return Optional.of(new Refusal(ResultCode.BUSY, SessionVariables.reason(ResultCode.BUSY)));
+    }
+    return refusal;
   }
 
   /** Returns why a key may not use a database; empty if it may. */
