End only the statement whose message is too long for a link

Callers on other VMs lost their statements when somebody read a result of more than 8 MiB through a gateway on another VM, or sent a statement that takes more with its shape and its session's values: the receiver refused the frame and closed the link, and each repetition of the read closed it again. Cause: frames were written without regard to the length that FrameReader accepts. FrameReader also copied all that it had of a frame with each piece. Change: FrameWriter alone encodes frames, and none that is refused. A read whose rows are too long is FAILED, a write or commit IN_DOUBT, a statement that is too long TOOBIG, and its transaction is rolled back at the gateway, since the session takes it for failed. Totals of usage are sent window by window. Mirror content that is too long is answered without content, so that the receiver watches the store itself. FrameReader copies what it had once.

--- a/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
+++ b/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
@@ -80,6 +80,27 @@
         Math.min(remainingInMilliseconds, milliseconds), objectiveLeftInMilliseconds, nearbyOnly);
   }
 
+  /** Returns the request that rolls back a transaction of this request's session. */
+  public StatementRequest rollbackOf(long openTransaction) {
+    return new StatementRequest(
+        "-",
+        group,
+        customer,
+        Operation.ROLLBACK,
+        "",
+        Optional.empty(),
+        Map.of(),
+        kind,
+        stalenessInMilliseconds,
+        seen,
+        openTransaction,
+        readOnly,
+        priority,
+        remainingInMilliseconds,
+        objectiveLeftInMilliseconds,
+        false);
+  }
+
   /** Returns a copy of this request with the given remaining time, for a nearby gateway. */
   public StatementRequest forNearbyGateway(long remaining) {
     return copy(remaining, objectiveAfter(remaining), true);
--- a/core/src/main/java/org/toucanmast/core/statement/StatementResult.java
+++ b/core/src/main/java/org/toucanmast/core/statement/StatementResult.java
@@ -38,6 +38,17 @@
         reply.code(), reply.rows(), reply.text(), reply.position(), transaction);
   }
 
+  /**
+   * Returns the result that remains if the rows cannot be passed on: a success becomes a failure,
+   * in doubt if the statement may have changed data, and a transaction is no longer open.
+   */
+  public StatementResult withoutRows(Operation operation, String reason) {
+    if (!isSuccess()) {
+      return failure(code, text);
+    }
+    return failure(operation.mayCommit() ? ResultCode.IN_DOUBT : ResultCode.FAILED, reason);
+  }
+
   /** Returns whether the statement ran and its answer is complete. */
   public boolean isSuccess() {
     return code == ResultCode.SUCCESS;
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -15,6 +15,7 @@
 import org.toucanmast.core.link.LinkLiveness;
 import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.link.LocalHealth;
+import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.clock.VmClock;
@@ -23,7 +24,6 @@
 import org.toucanmast.schema.FleetFrame;
 import org.toucanmast.schema.FleetHello;
 import org.toucanmast.schema.StatementAnswer;
-import org.toucanmast.schema.StatementCall;
 
 /**
  * The link that this VM opens to a peer when it needs one, to send it statements and receive their
@@ -169,8 +169,21 @@
     uses.add(LinkUse.STATEMENTS);
     long callId = calls.add(request, handler, now);
     // At another time the peer might be suspected, and the frame would be dropped.
-    StatementCall call = StatementMessages.toCall(callId, request);
-    send(FleetFrame.newBuilder().setCall(call).build(), now);
+    FleetFrame frame = FrameWriter.call(callId, request);
+    if (FrameWriter.isSendable(frame)) {
+      send(frame, now);
+    } else {
+      calls.remove(callId);
+      refuseTooLong(request, handler);
+    }
+  }
+
+  /** The session takes a transaction for failed then, and does not roll it back. */
+  private void refuseTooLong(StatementRequest request, CallHandler handler) {
+    if (request.transaction() != StatementRequest.NO_TRANSACTION) {
+      send(FrameWriter.rollback(request));
+    }
+    handler.onResult(StatementResult.failure(ResultCode.TOO_BIG, FrameWriter.TOO_LONG));
   }
 
   /** Sends a frame, as soon as the link is open. */
@@ -189,7 +202,7 @@
     if (frame.hasCall() || frame.hasTokenAsk()) {
       liveness.onRequestSent(now);
     }
-    socket.write(FrameReader.encode(frame));
+    FrameWriter.write(frame, socket, log);
   }
 
   /** Sends a heartbeat if the link is open. */
@@ -359,10 +372,7 @@
               .usage()
               .ifPresent(usage -> usage.onUsageReceipt(member.name(), frame.getUsageReceipt()));
       case MIRROR_PULL ->
-          send(
-              FleetFrame.newBuilder()
-                  .setMirrorPush(messageHandler.mirrorContent(frame.getMirrorPull()))
-                  .build());
+          send(FrameWriter.mirrorPush(messageHandler.mirrorContent(frame.getMirrorPull())));
       case MIRROR_PUSH -> messageHandler.onMirrorContent(member.name(), frame.getMirrorPush());
       default -> log.log(EventKind.PROTOCOL, "unexpected frame", "peer", member.name());
     }
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
@@ -244,7 +244,7 @@
 
   /** Sends totals to the holder of the duty of usage reports. */
   public void sendUsage(String vm, UsageTotals totals) {
-    link(vm).ifPresent(link -> link.send(FleetFrame.newBuilder().setUsageTotals(totals).build()));
+    link(vm).ifPresent(link -> FrameWriter.usageTotals(totals).forEach(link::send));
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.toucanmast.core.link.LocalHealth;
 import org.toucanmast.core.membership.VmRun;
+import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
@@ -156,29 +157,31 @@
                 .ifPresent(
                     receipt -> send(FleetFrame.newBuilder().setUsageReceipt(receipt).build()));
         case MIRROR_PULL ->
-            send(
-                FleetFrame.newBuilder()
-                    .setMirrorPush(handler.mirrorContent(frame.getMirrorPull()))
-                    .build());
+            send(FrameWriter.mirrorPush(handler.mirrorContent(frame.getMirrorPull())));
         case MIRROR_PUSH -> handler.onMirrorContent(peer, frame.getMirrorPush());
         default -> close("unexpected frame");
       }
     }
 
     private void onCall(StatementCall call) {
+      StatementRequest request = StatementMessages.toRequest(call);
+      VmRun origin = run;
       handler.execute(
-          StatementMessages.toRequest(call),
-          run,
-          result ->
-              send(
-                  FleetFrame.newBuilder()
-                      .setAnswer(StatementMessages.toAnswer(call.getCallId(), result))
-                      .build()));
+          request,
+          origin,
+          result -> {
+            FleetFrame answer = FrameWriter.answer(call.getCallId(), request, result);
+            send(answer);
+            if (result.transaction() != answer.getAnswer().getTransaction()) {
+              // The sender takes the transaction for failed, and does not roll it back.
+              handler.execute(request.rollbackOf(result.transaction()), origin, rolledBack -> {});
+            }
+          });
     }
 
     private void send(FleetFrame frame) {
       if (links.contains(this)) {
-        lastWrite = socket.write(FrameReader.encode(frame));
+        lastWrite = FrameWriter.write(frame, socket, log);
       }
     }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FrameReader.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FrameReader.java
@@ -8,12 +8,13 @@
 
 /** Splits the bytes of a link into frames, each preceded by its length in four bytes. */
 final class FrameReader {
-  private static final int LENGTH_PREFIX_IN_BYTES = 4;
+  static final int LENGTH_PREFIX_IN_BYTES = 4;
 
   /** Larger than any configuration document; a greater length means a corrupt stream. */
-  private static final int MAXIMUM_FRAME_IN_BYTES = 8 * 1024 * 1024;
+  static final int MAXIMUM_FRAME_IN_BYTES = 8 * 1024 * 1024;
 
   private Buffer pending = Buffer.buffer();
+  private boolean ownsPending;
 
   /**
    * Adds received bytes and returns the frames that are complete.
@@ -21,11 +22,7 @@
    * @throws InvalidProtocolBufferException if a frame is too long or cannot be parsed
    */
   List<FleetFrame> feed(Buffer bytes) throws InvalidProtocolBufferException {
-    if (pending.length() == 0) {
-      pending = bytes;
-    } else {
-      pending = pending.copy().appendBuffer(bytes);
-    }
+    append(bytes);
     List<FleetFrame> frames = new ArrayList<>();
     int start = 0;
     while (pending.length() - start >= LENGTH_PREFIX_IN_BYTES) {
@@ -40,15 +37,24 @@
       frames.add(FleetFrame.parseFrom(pending.getBytes(start + LENGTH_PREFIX_IN_BYTES, end)));
       start = end;
     }
-    pending = start == 0 ? pending : pending.getBuffer(start, pending.length());
+    if (start > 0) {
+      pending = pending.getBuffer(start, pending.length());
+      ownsPending = true;
+    }
     return frames;
   }
 
-  /** Encodes a frame with its length prefix. */
-  static Buffer encode(FleetFrame frame) {
-    byte[] body = frame.toByteArray();
-    return Buffer.buffer(LENGTH_PREFIX_IN_BYTES + body.length)
-        .appendInt(body.length)
-        .appendBytes(body);
+  /** Copies what was received before only once, so that a large frame costs its length. */
+  private void append(Buffer bytes) {
+    if (pending.length() == 0) {
+      pending = bytes;
+      ownsPending = false;
+      return;
+    }
+    if (!ownsPending) {
+      pending = pending.copy();
+      ownsPending = true;
+    }
+    pending.appendBuffer(bytes);
   }
 }
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.VertxOptions;
 import java.io.OutputStream;
 import java.net.ServerSocket;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.statement.Operation;
+import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
@@ -64,6 +66,7 @@
   private final List<String> heartbeats = new CopyOnWriteArrayList<>();
   private final List<String> lostRuns = new CopyOnWriteArrayList<>();
   private final List<Consumer<StatementResult>> unanswered = new CopyOnWriteArrayList<>();
+  private final List<Long> rolledBack = new CopyOnWriteArrayList<>();
   private volatile boolean answers = true;
   private final FleetLinks first = links("vm-1");
   private final FleetLinks second = links("vm-2");
@@ -137,12 +140,17 @@
   }
 
   private static void write(FleetLink link, CompletableFuture<String> outcome) {
+    call(link, WRITE, outcome);
+  }
+
+  private static void call(
+      FleetLink link, StatementRequest request, CompletableFuture<String> outcome) {
     link.call(
-        WRITE,
+        request,
         new FleetLink.CallHandler() {
           @Override
           public void onResult(StatementResult result) {
-            outcome.complete("result");
+            outcome.complete(result.isSuccess() ? "result" : result.code().name());
           }
 
           @Override
@@ -265,6 +273,67 @@
     await().until(() -> lostRuns.contains("vm-1 1 at vm-2"));
   }
 
+  /** The link was closed, and the statements of all other callers on it were lost. */
+  @Test
+  void should_keep_the_link_when_a_result_is_too_long_for_it() throws Exception {
+    CompletableFuture<String> outcome = beginUnansweredWrite();
+    CompletableFuture<String> other = beginWrite(first);
+    await().until(() -> unanswered.size() == 2);
+    List<String> rows = Collections.nCopies(9_000, "x".repeat(1_000));
+    onEventLoop(
+        () -> {
+          unanswered
+              .get(1)
+              .accept(new StatementResult(ResultCode.SUCCESS, rows, "", Position.NONE, 17));
+          return true;
+        });
+
+    assertThat(other.get(10, TimeUnit.SECONDS)).isEqualTo("IN_DOUBT");
+    assertThat(outcome).isNotDone();
+    // The session takes the transaction for failed; without this it kept its locks.
+    await().untilAsserted(() -> assertThat(rolledBack).containsExactly(17L));
+    answerWrite();
+    assertThat(outcome.get(10, TimeUnit.SECONDS)).isEqualTo("result");
+  }
+
+  /** The link was closed, and the statements of all other callers on it were lost. */
+  @Test
+  void should_refuse_only_a_statement_that_is_too_long_for_the_link() throws Exception {
+    CompletableFuture<String> outcome = beginUnansweredWrite();
+    CompletableFuture<String> tooLong = new CompletableFuture<>();
+    vertx.runOnContext(
+        ignored ->
+            call(
+                first.availableLink("vm-2").orElseThrow(),
+                inTransaction(17, "x".repeat(9_000_000)),
+                tooLong));
+
+    assertThat(tooLong.get(10, TimeUnit.SECONDS)).isEqualTo("TOO_BIG");
+    await().untilAsserted(() -> assertThat(rolledBack).containsExactly(17L));
+    answerWrite();
+    assertThat(outcome.get(10, TimeUnit.SECONDS)).isEqualTo("result");
+  }
+
+  private static StatementRequest inTransaction(long transaction, String text) {
+    return new StatementRequest(
+        "request",
+        "group",
+        "customer",
+        Operation.TRANSACTION_WRITE,
+        text,
+        Optional.empty(),
+        Map.of(),
+        RouteKind.PRIMARY,
+        0,
+        Position.NONE,
+        transaction,
+        false,
+        1,
+        1_000,
+        OptionalLong.empty(),
+        false);
+  }
+
   /**
    * A VM that had lost power was back before its former link counted as silent: its transactions
    * stayed open, and held their locks, until they had been idle for long.
@@ -344,6 +413,9 @@
     @Override
     public void execute(
         StatementRequest request, VmRun origin, Consumer<StatementResult> consumer) {
+      if (request.operation() == Operation.ROLLBACK) {
+        rolledBack.add(request.transaction());
+      }
       if (answers) {
         consumer.accept(StatementResult.emptySuccess());
       } else {
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Access;
 import org.toucanmast.core.statement.Operation;
@@ -22,6 +23,7 @@
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.schema.FleetFrame;
 import org.toucanmast.schema.FleetHello;
+import org.toucanmast.schema.StatementAnswer;
 
 class FrameReaderTest {
   private static FleetFrame frame(int number) {
@@ -37,7 +39,7 @@
     List<FleetFrame> sent = new ArrayList<>();
     for (int i = 0; i < 200; i++) {
       sent.add(frame(i));
-      all.appendBuffer(FrameReader.encode(frame(i)));
+      all.appendBuffer(FrameWriter.encode(frame(i)).orElseThrow());
     }
     FrameReader reader = new FrameReader();
     List<FleetFrame> read = new ArrayList<>();
@@ -50,6 +52,27 @@
     assertThat(read).isEqualTo(sent);
   }
 
+  /** Each piece copied all that was received before, and the event loop stood still meanwhile. */
+  @Test
+  @Timeout(10)
+  void should_read_a_large_frame_in_time_that_grows_with_its_length()
+      throws InvalidProtocolBufferException {
+    int length = FrameReader.MAXIMUM_FRAME_IN_BYTES - 100;
+    FleetFrame sent =
+        FleetFrame.newBuilder()
+            .setAnswer(StatementAnswer.newBuilder().setText("x".repeat(length)))
+            .build();
+    Buffer all = FrameWriter.encode(sent).orElseThrow();
+    FrameReader reader = new FrameReader();
+    List<FleetFrame> read = new ArrayList<>();
+    int piece = 256;
+    for (int start = 0; start < all.length(); start += piece) {
+      read.addAll(reader.feed(all.getBuffer(start, Math.min(all.length(), start + piece))));
+    }
+
+    assertThat(read).containsExactly(sent);
+  }
+
   @Test
   void should_reject_a_frame_longer_than_the_maximum() {
     assertThatThrownBy(() -> new FrameReader().feed(Buffer.buffer().appendInt(Integer.MAX_VALUE)))
