Use no names that endpoints cannot be sent

Names of endpoints, groups and customers are words of START. One with blanks, line breaks or NUL, an empty one, or one that is too long could come from the configuration or from the entry of any writer, and was only found when a connection to an endpoint was opened: each statement of its customer or group ended there. A route with an empty name made the whole configuration unusable, and a customer with an empty key was taken for all callers without a key. Cause: names were used without regard to the text that carries them. An entry with another id or service names no endpoint; a route, a service or a customer with another name is left out alone, and the VM logs which one and why.

--- a/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
+++ b/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
@@ -1,5 +1,6 @@
 package org.toucanmast.core.catalog;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -11,22 +12,41 @@
  * @param customersByKey the customers by API key; a customer with several keys occurs once per key
  * @param groups the limits of each database group by group name
  * @param idleTransactionInMilliseconds the idle time after which an open transaction is rolled back
+ * @param leftOut which elements of the configuration cannot be used, and why
  */
 public record Catalog(
     long version,
     Map<String, Route> routesByDatabase,
     Map<String, Customer> customersByKey,
     Map<String, GroupLimits> groups,
-    long idleTransactionInMilliseconds) {
+    long idleTransactionInMilliseconds,
+    List<String> leftOut) {
 
   /** The catalog in use until a configuration has been loaded. */
   public static final Catalog EMPTY = new Catalog(0, Map.of(), Map.of(), Map.of(), 1);
 
-  /** Creates a catalog with unmodifiable copies of the maps. */
+  /** Creates a catalog of which all elements can be used. */
+  public Catalog(
+      long version,
+      Map<String, Route> routesByDatabase,
+      Map<String, Customer> customersByKey,
+      Map<String, GroupLimits> groups,
+      long idleTransactionInMilliseconds) {
+    this(
+        version,
+        routesByDatabase,
+        customersByKey,
+        groups,
+        idleTransactionInMilliseconds,
+        List.of());
+  }
+
+  /** Creates a catalog with unmodifiable copies of the collections. */
   public Catalog {
     routesByDatabase = Map.copyOf(routesByDatabase);
     customersByKey = Map.copyOf(customersByKey);
     groups = Map.copyOf(groups);
+    leftOut = List.copyOf(leftOut);
   }
 
   /** Returns the route of a database; empty when no route has this database name. */
--- a/runtime/src/main/java/org/toucanmast/runtime/session/ConfigurationListener.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/ConfigurationListener.java
@@ -79,6 +79,17 @@
         object.revision(),
         "routes",
         received.routesByDatabase().size());
+    received
+        .leftOut()
+        .forEach(
+            problem ->
+                log.log(
+                    EventKind.CONFIGURATION,
+                    "part of the configuration not usable and left out",
+                    "version",
+                    received.version(),
+                    "reason",
+                    problem));
     sessions.setCatalog(received);
     allowances.onCatalog(received.customersByKey().values());
     gateways.onCatalog(received);
