Refuse statements that are not UTF-8 text

A statement with an unpaired surrogate, which JSON can carry as an escape, was run as another statement, with "?" in its place, when a transaction's step was passed on to the VM of the transaction. A number, list or object in place of a statement ran as its JSON text. Cause: the text of a caller was handed on to writers that replace what they cannot encode; other values were converted to text. Change: RequestParser, through which all statements of callers come, refuses both with 400, not run.

--- a/integration-tests/src/test/java/org/toucanmast/integration/BadInputTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/BadInputTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.toucanmast.integration.Caller.Answer;
+import org.toucanmast.standin.fleet.Fleet;
 
 @ExtendWith(SharedFleet.class)
 class BadInputTest {
@@ -128,6 +129,46 @@
     assertThat(answer.body().getString("message")).contains("session token");
   }
 
+  /** Passed on to the VM of a transaction, the statement became another one. */
+  @Test
+  void should_refuse_a_statement_that_utf_8_cannot_carry() throws IOException {
+    String transaction =
+        Caller.of(SharedFleet.callerAddress(2), "bench-1")
+            .begin("stock")
+            .body()
+            .getString("transaction");
+
+    assertThat(stepWithJson(transaction, "\"put odd \\ud800\"")).startsWith("HTTP/1.1 400");
+    assertThat(stepWithJson(transaction, "\"put pair \\ud83d\\ude00\""))
+        .startsWith("HTTP/1.1 200")
+        .contains("\"rows\":[\"\\uD83D\\uDE00\"]");
+  }
+
+  private static String stepWithJson(String transaction, String statement) throws IOException {
+    String body = "{\"statements\":[" + statement + "]}";
+    return exchange(
+        "POST /v1/transactions/"
+            + transaction
+            + "/statements HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer "
+            + Fleet.keyOf("bench-1")
+            + "\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body,
+        false);
+  }
+
+  /** The JSON text of the value was sent as a statement. */
+  @Test
+  void should_refuse_a_statement_that_is_not_a_string() {
+    Caller caller = Caller.of(SharedFleet.callerAddress(1), "bench-1");
+    JsonArray statements = new JsonArray().add(new JsonArray().add("put a b"));
+
+    Answer answer = caller.post(PATH, new JsonObject().put("statements", statements), "", "");
+
+    assertThat(answer.status()).isEqualTo(400);
+  }
+
   @Test
   void should_report_that_the_database_refused_a_statement() {
     Answer answer =
--- a/runtime/src/main/java/org/toucanmast/runtime/caller/RequestParser.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/caller/RequestParser.java
@@ -5,6 +5,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -160,10 +161,14 @@
     }
     List<String> statements = new ArrayList<>();
     for (int index = 0; index < array.size(); index++) {
-      statements.add(array.getString(index));
-    }
-    if (statements.contains(null)) {
-      throw malformed("a statement is null");
+      if (!(array.getValue(index) instanceof String statement)) {
+        throw malformed("a statement is not a string");
+      }
+      // Only text that UTF-8 can carry reaches other VMs and endpoints unchanged.
+      if (!StandardCharsets.UTF_8.newEncoder().canEncode(statement)) {
+        throw malformed("a statement has an unpaired surrogate");
+      }
+      statements.add(statement);
     }
     return statements;
   }
