Take the values of a customer as text, not as templates

A customer section whose value named its own parameter, such as rate = ${rate}, ended configuration apply with a stack trace; a VM that read such a document from another writer failed in the handler of its event loop, and did not remember the revision as refused. Cause: the substitutor replaced parameters in the values that it had just put into the template, without end for a cycle. Change: values are put into the template as they are. A value that names a parameter does not have the format of its key and is reported as such. Result: the new test of ConfigurationCompilerTest failed before with an IllegalStateException, and passes.

--- a/core/src/main/java/org/toucanmast/core/configuration/TemplateFiller.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/TemplateFiller.java
@@ -31,7 +31,9 @@
       BiConsumer<String, String> problem) {
     Set<String> parameters = parametersOf(template);
     Set<String> customerKeys = new TreeSet<>(SectionReader.keysOf(CustomerSection.getDescriptor()));
-    StringSubstitutor substitutor = new StringSubstitutor(customer);
+    // A customer's value is text and no template: it must not take in other values, or itself.
+    StringSubstitutor substitutor =
+        new StringSubstitutor(customer).setDisableSubstitutionInValues(true);
     Map<String, String> filled = new LinkedHashMap<>();
     template.forEach((key, text) -> filled.put(key, substitutor.replace(text)));
     customer.forEach(
--- a/core/src/test/java/org/toucanmast/core/configuration/ConfigurationCompilerTest.java
+++ b/core/src/test/java/org/toucanmast/core/configuration/ConfigurationCompilerTest.java
@@ -44,6 +44,19 @@
     assertThat(compile().customersByKey()).containsEntry(KEY_HASH, "b1");
   }
 
+  /** A value that named its own parameter ended in an exception that no caller expects. */
+  @Test
+  void should_refuse_a_customer_whose_value_names_a_parameter() {
+    withFleet();
+    section("template", "own", Map.of("rate", "${pace}", "burst", "10", "databases", "stock"));
+    section("customer", "b1", Map.of("template", "own", "pace", "${pace}"));
+
+    assertThatThrownBy(this::compile)
+        .isInstanceOf(InvalidTextException.class)
+        .hasMessageContaining(
+            "[customer b1] rate: expected a rate such as 20/s but found '${pace}'");
+  }
+
   @Test
   void should_refuse_an_unknown_template_and_name_file_section_and_key() {
     withFleet().section("customer", "b1", Map.of("template", "missing"));
