--- a/review/standin/review/ExtremesCase.java
+++ b/review/standin/review/ExtremesCase.java
@@ -34,6 +34,7 @@
       endpoint.workInMilliseconds = 5;
     }
     deployment.start();
+    inspection.silentAtReset.set(mode.equals("SILENT_RESET") ? 60 : 0);
     Endpoint primary = deployment.group.primary;
     double end = Recorder.now() + PLAY_IN_MILLISECONDS;
     Map<String, AtomicInteger> results = new ConcurrentHashMap<>();
@@ -54,6 +55,7 @@
             .filter(entry -> !entry.getKey().equals("COMPLETE") && !entry.getKey().contains("allowance"))
             .mapToInt(entry -> entry.getValue().get())
             .sum();
+    recorder.say("interfered %d", inspection.interfered.get());
     recorder.say("%s: others got %s; the odd callers got %s", mode, new TreeMap<>(results), new TreeMap<>(oddResults));
     recorder.say(
         "failed among the others %d; messages above 1 MiB %d; primary changed: %s",
@@ -132,6 +134,11 @@
       try (Client client = new Client(vm.name + "/odd", vm, 8_000, deployment.recorder)) {
         client.open(Deployment.OWN_DATABASE, key);
         Map<String, String> values = new ConcurrentHashMap<>();
+        if (mode.equals("SILENT_RESET")) {
+          String value = "x".repeat(70_000);
+          client.query("SET v " + value);
+          values.put("v", value);
+        }
         if (mode.equals("VALUES")) {
           for (int index = 0; index < 10; index++) {
             String value = "x".repeat(900_000);
@@ -141,6 +148,11 @@
         }
         while (Recorder.now() < end) {
           String id = Client.newId();
+          if (mode.equals("REFUSED_ID")) {
+            id = id + "i".repeat(1024 * 1024 - 40);
+            count(results, brief(client.query(id, "DEALLOC none").result()));
+            continue;
+          }
           if (mode.equals("ID")) {
             send(inspection, client, Client.newId(), "WRITE e1 x", Map.of());
             id = id + "i".repeat(1024 * 1024 - 30);
--- a/review/standin/review/Inspection.java
+++ b/review/standin/review/Inspection.java
@@ -44,6 +44,10 @@
   final AtomicInteger oversized = new AtomicInteger();
   final AtomicInteger interfered = new AtomicInteger();
   final AtomicInteger setups = new AtomicInteger();
+
+  /** How many connections go silent at the next RESET on each. */
+  final AtomicInteger silentAtReset = new AtomicInteger();
+
   private final Recorder recorder;
   private final Trouble trouble;
 
@@ -193,6 +197,13 @@
         refuse("BUSY");
         return true;
       }
+      if (text.equals("RESET") && silentAtReset.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+        interfered.incrementAndGet();
+        while (fromVm.read() >= 0) {
+          // The connection stays open and is never answered on.
+        }
+        throw new IOException("closed by the VM");
+      }
       if (text.startsWith("EXECUTE ") && happens(trouble.unknownNames())) {
         prepared.clear();
         refuse("NOSTMT");
