Close connections on which a gateway's own commands get no reply

Cause: only attempts at statements had timeouts. Connections that waited for the reply to a ROLLBACK, a RESET, a probe or a STATUS stayed taken and counted towards the limit of the endpoint.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -1,6 +1,7 @@
 package org.toucanmast.runtime.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,9 @@
 
   private static final double MAXIMUM_SAVED_RETRIES = 20;
 
+  /** Time for a reply to a command that needs no slot of the endpoint, or only a short one. */
+  private static final long UNANSWERED_COMMAND_TIMEOUT_IN_MILLISECONDS = 3_000;
+
   /** Length of a statement's id and text that leaves room for a position in the same message. */
   private static final int MAXIMUM_LENGTH_BESIDE_POSITION = 64 * 1024;
 
@@ -406,11 +410,31 @@
     waitingStatements.expireInTransactions(now);
     transactions.idleFor(context.idleTransactionTimeoutMilliseconds(), now).forEach(this::rollBack);
     primaryMonitor.sweep(now, active, queues.hasStatementsForPrimary());
+    closeSilentConnections(now);
     long idleTimeoutMilliseconds = context.idleConnectionTimeoutMilliseconds(group);
     pools.values().forEach(pool -> pool.closeIdle(idleTimeoutMilliseconds));
     dispatch();
   }
 
+  /**
+   * Closes connections on which the gateway's own commands get no reply, as after a connection has
+   * gone silent: they would count towards the endpoint's limit for good. Attempts at statements
+   * have their own timeouts.
+   */
+  private void closeSilentConnections(long now) {
+    if (!context.localHealth().mayJudge(now)) {
+      return;
+    }
+    long timeout = context.localHealth().extended(UNANSWERED_COMMAND_TIMEOUT_IN_MILLISECONDS, now);
+    Set<EndpointConnection> withStatements = new HashSet<>();
+    runningAttempts.forEach(attempt -> withStatements.add(attempt.connection()));
+    for (EndpointPool pool : pools.values()) {
+      pool.connectionsAwaitingReplySince(now - timeout).stream()
+          .filter(connection -> !withStatements.contains(connection))
+          .forEach(EndpointConnection::close);
+    }
+  }
+
   /**
    * Rolls back the open transactions of a VM's run that was lost, by closing their connections, and
    * drops its statements that wait.
