Report a refused set-up of a connection as not run

An endpoint's MALFORMED or NOSTMT for a SET or PREPARE of the gateway reached a caller whose own SET or PREPARE had been acknowledged. It gets BUSY now.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -92,7 +92,7 @@
         "reason",
         reply.text());
     endAttempt(attempt);
-    endUnsent(attempt, reply.code().guaranteesNoEffect() ? reply.code() : ResultCode.BUSY);
+    endUnsent(attempt);
   }
 
   @Override
@@ -103,17 +103,17 @@
     } else {
       attempt.pool().release(attempt.connection());
     }
-    endUnsent(attempt, ResultCode.BUSY);
+    endUnsent(attempt);
   }
 
   /** Ends or repeats a statement that was not sent; an open transaction of it is rolled back. */
-  private void endUnsent(StatementAttempt attempt, ResultCode code) {
+  private void endUnsent(StatementAttempt attempt) {
     PendingStatement statement = attempt.statement();
     transactions.find(statement.request()).ifPresent(transactions::remove);
     if (statement.request().transaction() != StatementRequest.NO_TRANSACTION) {
       statement.fail(ResultCode.ABORTED, "the values of the session could not be applied");
     } else {
-      retryOrFail(attempt, code);
+      retryOrFail(attempt, ResultCode.BUSY);
     }
     dispatch.run();
   }
