Identify departed endpoints by records instead of joined text

A process of an endpoint was known by its id, its start and its address joined with blanks and a colon, so that the parts of one could be read as those of another one. Change: a record.

--- a/core/src/main/java/org/toucanmast/core/failover/DepartedEndpoints.java
+++ b/core/src/main/java/org/toucanmast/core/failover/DepartedEndpoints.java
@@ -34,8 +34,15 @@
     }
   }
 
+  /** A process of an endpoint: an endpoint that started again holds nothing of before. */
+  private record Run(String id, long startedAt, String host, int port) {
+    private static Run of(EndpointEntry entry) {
+      return new Run(entry.id(), entry.startedAt(), entry.host(), entry.port());
+    }
+  }
+
   private final Map<String, EndpointEntry> present = new HashMap<>();
-  private final Map<String, Departure> departures = new HashMap<>();
+  private final Map<Run, Departure> departures = new HashMap<>();
 
   /**
    * Records the entry of a member.
@@ -46,9 +53,9 @@
   public void onEntry(EndpointEntry entry, Optional<Position> acknowledged, long now) {
     EndpointEntry previous = present.put(entry.id(), entry);
     if (previous != null && !previous.isSameRun(entry)) {
-      departures.put(run(previous), new Departure(acknowledged, now));
+      departures.put(Run.of(previous), new Departure(acknowledged, now));
     }
-    departures.remove(run(entry));
+    departures.remove(Run.of(entry));
   }
 
   /** Records that a member has left the group. */
@@ -56,14 +63,10 @@
     EndpointEntry previous = present.remove(endpointId);
     if (previous != null) {
       long receivesUntil = previous.draining() ? now : now + UNPLANNED_RETENTION_IN_MILLISECONDS;
-      departures.put(run(previous), new Departure(acknowledged, receivesUntil));
+      departures.put(Run.of(previous), new Departure(acknowledged, receivesUntil));
     }
   }
 
-  private static String run(EndpointEntry entry) {
-    return entry.id() + " " + entry.startedAt() + " " + entry.host() + ":" + entry.port();
-  }
-
   /**
    * Records a position that covers every acknowledged commit. It covers also what endpoints held
    * that had departed before, when no such position was known.
