Show configurations as INI that is read as the same configuration

A value that had been quoted or written on several lines was another one, or other keys, after configuration show and apply; a list on two lines was refused. Two documents that differed in this only were shown as equal. Cause: ConfigurationText joined keys and values into lines without regard to the quotes, comments and continued lines of the parser. Change: IniFile.format chooses the form of a value that IniFile.parse reads as the same value, and toIni compares the whole document with what is read back; what INI cannot carry is reported and shown as JSON only. Differences are made from documents instead of their text (DocumentDifference). A backslash at the end of a file no longer differs from one at the end of another line, and a key that the INI library takes for an expression is reported instead of read as "null".

--- a/cli/src/main/java/org/toucanmast/cli/ConfigurationCommand.java
+++ b/cli/src/main/java/org/toucanmast/cli/ConfigurationCommand.java
@@ -28,7 +28,7 @@
   int show(
       @Mixin PlatformOptions platform,
       @Option(names = "--output", defaultValue = "table") OutputFormat output)
-      throws CommandException {
+      throws CommandException, InvalidTextException {
     ConfigurationDocument document = platform.run(editor -> new ConfigurationEditor(editor).read());
     String text =
         output == OutputFormat.JSON
--- a/cli/src/main/java/org/toucanmast/cli/ConfigurationEditor.java
+++ b/cli/src/main/java/org/toucanmast/cli/ConfigurationEditor.java
@@ -87,9 +87,7 @@
               try {
                 ConfigurationDocument changed = change.apply(document);
                 ConfigurationCompiler.compile(changed, current.version() + 1, "the configuration");
-                List<String> difference =
-                    IniDifference.of(
-                        ConfigurationText.toIni(document), ConfigurationText.toIni(changed));
+                List<String> difference = DocumentDifference.of(document, changed);
                 if (dryRun || difference.isEmpty()) {
                   return Future.succeededFuture(new EditResult(current.version(), difference));
                 }
--- a/runtime/src/main/java/org/toucanmast/runtime/ini/ConfigurationText.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/ConfigurationText.java
@@ -16,6 +16,9 @@
 
 /** Converts configuration documents to and from INI, for operators, and JSON, for the platform. */
 public final class ConfigurationText {
+  private static final String STORED = "the configuration";
+  private static final String NOT_INI = "cannot be written as INI, only as JSON";
+
   private ConfigurationText() {}
 
   /**
@@ -64,17 +67,35 @@
     return document.build();
   }
 
-  /** Returns a document as INI, with sections in the document's order and keys sorted. */
-  public static String toIni(ConfigurationDocument document) {
+  /**
+   * Returns a document as INI, with sections in the document's order and keys sorted; {@link
+   * #parseIni} reads the same document.
+   *
+   * @throws InvalidTextException when INI cannot carry a header, a key or a value
+   */
+  public static String toIni(ConfigurationDocument document) throws InvalidTextException {
     StringBuilder text = new StringBuilder();
+    List<TextProblem> problems = new ArrayList<>();
     for (Section section : document.getSectionsList()) {
       if (!text.isEmpty()) {
         text.append('\n');
       }
       text.append('[').append(section.getKind()).append(' ').append(section.getName());
       text.append("]\n");
+      String header = section.getKind() + " " + section.getName();
       new TreeMap<>(section.getValuesMap())
-          .forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+          .forEach(
+              (key, value) ->
+                  IniFile.format(key, value)
+                      .ifPresentOrElse(
+                          text::append,
+                          () -> problems.add(new TextProblem(STORED, header, key, NOT_INI))));
+    }
+    if (problems.isEmpty() && !parseIni(text.toString(), STORED).equals(document)) {
+      problems.add(new TextProblem(STORED, "", "", NOT_INI));
+    }
+    if (!problems.isEmpty()) {
+      throw new InvalidTextException(problems);
     }
     return text.toString();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/ini/IniFile.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/IniFile.java
@@ -10,9 +10,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -20,8 +22,8 @@
 import org.toucanmast.core.text.TextProblem;
 
 /**
- * Reads the sections of an INI file. Rejects repeated sections and keys, which the INI parser would
- * merge silently.
+ * Reads and writes the sections of an INI file. Rejects repeated sections and keys, which the INI
+ * parser would merge silently.
  *
  * <p>Example: {@code Map<String, Map<String, String>> sections = IniFile.read(path)}.
  */
@@ -76,11 +78,38 @@
     return sections;
   }
 
+  /**
+   * Returns the line or lines of a key and its value, in the simplest form that {@link #parse}
+   * reads as the same key and value; empty if INI cannot carry them.
+   */
+  public static Optional<String> format(String key, String value) {
+    return Stream.of(
+            value,
+            '"' + value.replace("\"", "\\\"") + '"',
+            "'" + value.replace("'", "\\'") + "'",
+            value.replace("\n", " \\\n"),
+            value.replace("\n", " \\\n") + " \\\n")
+        .map(form -> key + " = " + form + "\n")
+        .filter(lines -> isReadAs(lines, key, value))
+        .findFirst();
+  }
+
+  private static boolean isReadAs(String lines, String key, String value) {
+    try {
+      // A section follows, since a value can take in the next line.
+      return parse("[first]\n" + lines + "[second]\nkey = value\n", "")
+          .equals(Map.of("first", Map.of(key, value), "second", Map.of("key", "value")));
+    } catch (InvalidTextException e) {
+      return false;
+    }
+  }
+
   private static INIConfiguration load(String text, String source) throws InvalidTextException {
     INIConfiguration ini = new INIConfiguration();
     ini.setSeparatorUsedInInput("=");
     try {
-      ini.read(new StringReader(text));
+      // A line that ends in a backslash is continued by the next one; the last one has one as well.
+      ini.read(new StringReader(text + "\n\n"));
       return ini;
     } catch (ConfigurationException | IOException e) {
       throw problem(source, "", "", "is not an INI file: " + e.getMessage());
@@ -107,10 +136,12 @@
       Object value = section.getProperty(key);
       // Commons Configuration doubles the dots within a key.
       String unescapedKey = key.replace("..", ".");
-      if (value instanceof List<?>) {
+      if (value == null) {
+        problems.add(new TextProblem(source, name, unescapedKey, "is not a key of an INI file"));
+      } else if (value instanceof List<?>) {
         problems.add(new TextProblem(source, name, unescapedKey, "stands twice"));
       } else {
-        values.put(unescapedKey, String.valueOf(value).strip());
+        values.put(unescapedKey, String.valueOf(value).trim());
       }
     }
     return values;
