Refuse a customer that has the name of a route's allowance

A customer named route:open and the public route open shared one allowance, with the rate of either, and one place in the queues of endpoints. Cause: allowances are kept by name, and the name of a route's is joined from "route:" and the route; names of customers may contain a colon. Change: the compiler reports such a customer, so that the edit is refused.

--- a/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/ConfigurationCompiler.java
@@ -105,6 +105,17 @@
     sectionsOfKind("route").forEach(this::compileRoute);
     sectionsOfKind("template").forEach(this::checkTemplate);
     sectionsOfKind("customer").forEach(this::compileCustomer);
+    routes.values().forEach(this::checkAllowanceName);
+  }
+
+  /** A customer and a route of the same name would share one allowance and one queue. */
+  private void checkAllowanceName(Route route) {
+    if (sectionsOfKind("customer").containsKey(route.allowanceName())) {
+      reader.report(
+          "customer " + route.allowanceName(),
+          "",
+          "has the name of the allowance of route '" + route.name() + "'");
+    }
   }
 
   private <T extends Message> T read(
--- a/core/src/test/java/org/toucanmast/core/configuration/ConfigurationCompilerTest.java
+++ b/core/src/test/java/org/toucanmast/core/configuration/ConfigurationCompilerTest.java
@@ -57,6 +57,19 @@
             "[customer b1] rate: expected a rate such as 20/s but found '${pace}'");
   }
 
+  /** One of the two had the rate of the other, and both took from one allowance. */
+  @Test
+  void should_refuse_a_customer_with_the_name_of_the_allowance_of_a_route() {
+    withFleet();
+    section("route", "open", Map.of("database", "stock", "prefix", "p-"));
+    section("customer", "route:open", Map.of("template", "bench", "rate", "20/s"));
+
+    assertThatThrownBy(this::compile)
+        .isInstanceOf(InvalidTextException.class)
+        .hasMessage(
+            "fleet.ini: [customer route:open]: has the name of the allowance of route 'open'");
+  }
+
   @Test
   void should_refuse_an_unknown_template_and_name_file_section_and_key() {
     withFleet().section("customer", "b1", Map.of("template", "missing"));
