Encode kinds and names in the paths of the platform

No caller was affected: the kinds and names in use are constants. Joined into a path as they are, others would name another object, or a query. Change: PlatformClient encodes both as path segments in the one place that builds the path. Result: the new test of PlatformClientTest failed before; 19 of 19 pass.

--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -1,6 +1,8 @@
 package org.toucanmast.runtime.platform;
 
+import com.google.common.escape.Escaper;
 import com.google.common.net.HostAndPort;
+import com.google.common.net.UrlEscapers;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -40,6 +42,8 @@
  */
 public final class PlatformClient {
   /** Header of the platform's answers with its era; a platform without eras leaves it out. */
+  private static final Escaper SEGMENT_ESCAPER = UrlEscapers.urlPathSegmentEscaper();
+
   private static final String ERA_HEADER = "Platform-Era";
 
   private static final int OK = 200;
@@ -149,7 +153,7 @@
   private record Answer(int status, String body, long era) {}
 
   private static String path(String kind, String name) {
-    return "/objects/" + kind + "/" + name;
+    return "/objects/" + SEGMENT_ESCAPER.escape(kind) + "/" + SEGMENT_ESCAPER.escape(name);
   }
 
   private Future<Answer> call(
--- a/runtime/src/test/java/org/toucanmast/runtime/platform/PlatformClientTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/platform/PlatformClientTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,6 +22,7 @@
 
   private final Vertx vertx = Vertx.vertx();
   private volatile String answer = "";
+  private volatile String uri = "";
   private PlatformClient client;
 
   @BeforeEach
@@ -28,7 +30,11 @@
     int port =
         vertx
             .createHttpServer()
-            .requestHandler(request -> request.response().end(answer))
+            .requestHandler(
+                request -> {
+                  uri = request.uri();
+                  request.response().end(answer);
+                })
             .listen(0, "127.0.0.1")
             .await(10, TimeUnit.SECONDS)
             .actualPort();
@@ -48,6 +54,16 @@
     }
   }
 
+  /** Joined as they are, the kind and the name would be a path and a query of another object. */
+  @Test
+  void should_ask_for_the_object_of_a_name_that_a_path_cannot_carry() throws Exception {
+    answer = "{\"version\":1,\"value\":{}}";
+
+    await(client.read("a/b c", "größe?after=1#%2F"));
+
+    assertThat(uri).isEqualTo("/objects/a%2Fb%20c/gr%C3%B6%C3%9Fe%3Fafter=1%23%252F");
+  }
+
   /** Before, one odd VM in the list kept all others from being learned of. */
   @ParameterizedTest
   @ValueSource(
