--- a/integration-tests/src/test/java/org/toucanmast/integration/FaultInjectingLinks.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/FaultInjectingLinks.java
@@ -14,6 +14,12 @@
 final class FaultInjectingLinks implements Fleet.AddressRewriter, AutoCloseable {
   private static final int FIRST_PORT = 14_000;
   private static final int PORTS_PER_PROCESS = 190;
+
+  /** The proxy's own sizes take 4 MiB of direct memory for each connection. */
+  private static final int BUFFERS_PER_DIRECTION = 8;
+
+  private static final int BUFFER_SIZE_IN_BYTES = 16 * 1024;
+
   private static int nextPort =
       FIRST_PORT + (int) (ProcessHandle.current().pid() % 20) * PORTS_PER_PROCESS;
 
@@ -43,6 +49,8 @@
                 .withReactor(reactor)
                 .withBindAddress(new InetSocketAddress("127.0.0.1", nextPort))
                 .withConnectAddress(new InetSocketAddress(target.getHost(), target.getPort()))
+                .withBufferCount(BUFFERS_PER_DIRECTION)
+                .withBufferSize(BUFFER_SIZE_IN_BYTES)
                 .buildAndOpen();
         return proxy;
       } catch (RuntimeException e) {
