Give metrics of different customers different names

GET /metrics gave no answer at all once two customers, or two databases, had names that differ only in punctuation or in characters beyond ASCII. Cause: names were joined into the names of metrics with dots; the text for Prometheus replaces such characters by underscores, and its writer throws on two metrics of one name. Change: MetricNames joins them. If the text cannot be written all the same, the request is answered with 503.

--- a/runtime/src/main/java/org/toucanmast/runtime/metrics/AdminServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/AdminServer.java
@@ -76,7 +76,7 @@
           .response()
           .putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
           .end(Buffer.buffer(text.toByteArray()));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       answer(request, UNAVAILABLE, "metrics cannot be written: " + e.getMessage() + "\n");
     }
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/metrics/RequestMetrics.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/RequestMetrics.java
@@ -47,7 +47,7 @@
   public void onSucceeded(
       String customer, RequestKind kind, boolean replica, long durationInNanoseconds) {
     long microseconds = durationInNanoseconds / NANOSECONDS_PER_MICROSECOND;
-    histogram("requests.microseconds.customer." + customer).update(microseconds);
+    histogram(MetricNames.join("requests.microseconds.customer", customer)).update(microseconds);
     histogram("requests.microseconds.kind." + kind.name().toLowerCase(Locale.ROOT))
         .update(microseconds);
     if (kind == RequestKind.READ) {
@@ -58,7 +58,9 @@
   /** Counts a request that was refused or whose outcome is unknown. */
   public void onRefused(String customer, Refusal refusal) {
     registry.counter("requests.refused.code." + refusal.code()).inc();
-    registry.counter("requests.refused.customer." + customer + "." + refusal.code()).inc();
+    registry
+        .counter(MetricNames.join("requests.refused.customer", customer) + "." + refusal.code())
+        .inc();
   }
 
   private Histogram histogram(String name) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
@@ -13,6 +13,7 @@
 import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.metrics.HdrReservoir;
+import org.toucanmast.runtime.metrics.MetricNames;
 
 /** Counts statements by result, and measures latencies by customer and by kind of route. */
 final class SessionMetrics {
@@ -30,7 +31,7 @@
     registry.counter("session.results." + code.name().toLowerCase(Locale.ROOT)).inc();
     if (code == ResultCode.SUCCESS) {
       byCustomer
-          .computeIfAbsent(customer, name -> timer("session.customer." + name))
+          .computeIfAbsent(customer, name -> timer(MetricNames.join("session.customer", name)))
           .update(milliseconds, TimeUnit.MILLISECONDS);
       byRouteKind
           .computeIfAbsent(
@@ -55,8 +56,7 @@
             outcome,
             any ->
                 registry.counter(
-                    "session.objective."
-                        + database
+                    MetricNames.join("session.objective", database)
                         + "."
                         + outcome.name().toLowerCase(Locale.ROOT)))
         .inc();
