Move the closing of silent connections out of the group's gateway

The decision whether a read runs in a transaction of the gateway belongs to the statement. No change of behaviour.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -1,7 +1,6 @@
 package org.toucanmast.runtime.gateway;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,12 +31,6 @@
 
   private static final double MAXIMUM_SAVED_RETRIES = 20;
 
-  /** Time for a reply to a command that needs no slot of the endpoint, or only a short one. */
-  private static final long UNANSWERED_COMMAND_TIMEOUT_IN_MILLISECONDS = 3_000;
-
-  /** Length of a statement's id and text that leaves room for a position in the same message. */
-  private static final int MAXIMUM_LENGTH_BESIDE_POSITION = 64 * 1024;
-
   /** The reason of results that statements get because their gateway was closed. */
   public static final String CLOSED = "the gateway is closed";
 
@@ -53,6 +46,7 @@
   private final StatementQueues queues;
   private final WaitingStatements waitingStatements;
   private final OverdueAttempts overdueAttempts;
+  private final SilentConnections silentConnections;
   private final NearbyReplicas nearbyReplicas;
   private final ReadPlacement readPlacement;
   private final AttemptResultHandler resultHandler;
@@ -72,6 +66,7 @@
     this.queues = new StatementQueues(context, pools, primaryMonitor);
     this.waitingStatements = new WaitingStatements(transactions, queues, this::rollBack);
     this.overdueAttempts = new OverdueAttempts(context, queues, retryBudget);
+    this.silentConnections = new SilentConnections(context, pools.values(), runningAttempts);
     this.nearbyReplicas = new NearbyReplicas(context.dataCentre(), pools, primaryMonitor);
     this.readPlacement =
         new ReadPlacement(context.dataCentre(), pools, history, primaryMonitor, nearbyReplicas);
@@ -330,8 +325,7 @@
 
   private void start(
       PendingStatement statement, EndpointPool pool, Optional<Position> minimumPosition) {
-    boolean wrapped = statement.needsPrimary() && statement.request().operation() == Operation.READ;
-    start(statement, pool, minimumPosition, wrapped);
+    start(statement, pool, minimumPosition, statement.isWrapped(minimumPosition));
   }
 
   private void start(
@@ -340,34 +334,23 @@
       Optional<Position> minimumPosition,
       boolean wrapped) {
     StatementRequest request = statement.request();
-    boolean beginsWithPosition = wrapped || minimumPosition.isPresent() && isLong(request);
     Optional<EndpointConnection> connection = pool.acquire(request.customer(), request.values());
     if (connection.isEmpty()) {
       queues.add(statement);
       return;
     }
-    long now = context.clock().now();
     startAttempt(
         new StatementAttempt(
             statement,
             pool,
             connection.get(),
             minimumPosition,
-            beginsWithPosition,
+            wrapped,
             Optional.empty(),
-            now,
+            context.clock().now(),
             resultHandler));
   }
 
-  /**
-   * Returns whether a read may exceed the maximum length of a message with the position that it
-   * needs; its position is then sent with the begin of a transaction.
-   */
-  private static boolean isLong(StatementRequest request) {
-    return request.operation() == Operation.READ
-        && request.requestId().length() + request.text().length() > MAXIMUM_LENGTH_BESIDE_POSITION;
-  }
-
   private void startInTransaction(PendingStatement statement, OpenTransaction transaction) {
     startAttempt(
         new StatementAttempt(
@@ -410,31 +393,12 @@
     waitingStatements.expireInTransactions(now);
     transactions.idleFor(context.idleTransactionTimeoutMilliseconds(), now).forEach(this::rollBack);
     primaryMonitor.sweep(now, active, queues.hasStatementsForPrimary());
-    closeSilentConnections(now);
+    silentConnections.close(now);
     long idleTimeoutMilliseconds = context.idleConnectionTimeoutMilliseconds(group);
     pools.values().forEach(pool -> pool.closeIdle(idleTimeoutMilliseconds));
     dispatch();
   }
 
-  /**
-   * Closes connections on which the gateway's own commands get no reply, as after a connection has
-   * gone silent: they would count towards the endpoint's limit for good. Attempts at statements
-   * have their own timeouts.
-   */
-  private void closeSilentConnections(long now) {
-    if (!context.localHealth().mayJudge(now)) {
-      return;
-    }
-    long timeout = context.localHealth().extended(UNANSWERED_COMMAND_TIMEOUT_IN_MILLISECONDS, now);
-    Set<EndpointConnection> withStatements = new HashSet<>();
-    runningAttempts.forEach(attempt -> withStatements.add(attempt.connection()));
-    for (EndpointPool pool : pools.values()) {
-      pool.connectionsAwaitingReplySince(now - timeout).stream()
-          .filter(connection -> !withStatements.contains(connection))
-          .forEach(EndpointConnection::close);
-    }
-  }
-
   /**
    * Rolls back the open transactions of a VM's run that was lost, by closing their connections, and
    * drops its statements that wait.
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/PendingStatement.java
@@ -4,15 +4,20 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.toucanmast.core.group.Position;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.scheduling.StatementTerms;
 import org.toucanmast.core.scheduling.WaitEstimate;
+import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 
 /** A statement at its gateway, from its arrival to its result. */
 final class PendingStatement {
+  /** Length of a statement's id and text that leaves room for a position in the same message. */
+  private static final int MAXIMUM_LENGTH_BESIDE_POSITION = 64 * 1024;
+
   private final StatementRequest request;
   private final BiConsumer<PendingStatement, StatementResult> onFinished;
   private final VmRun origin;
@@ -103,6 +108,17 @@
     return needsPrimary;
   }
 
+  /**
+   * Returns whether this is a read that runs in a transaction of the gateway: it needs the primary,
+   * or it may exceed the maximum length of a message together with the position that it needs,
+   * which the begin of the transaction then carries.
+   */
+  boolean isWrapped(Optional<Position> minimumPosition) {
+    int length = request.requestId().length() + request.text().length();
+    boolean isLong = minimumPosition.isPresent() && length > MAXIMUM_LENGTH_BESIDE_POSITION;
+    return request.operation() == Operation.READ && (needsPrimary || isLong);
+  }
+
   void requirePrimary() {
     needsPrimary = true;
   }
