--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -57,8 +57,8 @@
     void onLost(int index, Loss loss, boolean sent);
   }
 
-  /** Total length of the session values that an idle connection keeps, in characters. */
-  private static final long MAXIMUM_KEPT_VALUE_LENGTH = 64 * 1024;
+  /** Total length of the names and values of sessions that an idle connection keeps. */
+  private static final long MAXIMUM_KEPT_LENGTH_IN_CHARACTERS = 64 * 1024;
 
   private record PendingReply(ReplyHandler handler, int index, long issuedAt) {}
 
@@ -252,8 +252,11 @@
 
   /** Returns whether the connection holds more of sessions than an idle one should keep. */
   boolean isSessionStateTooLarge() {
-    long valueLength = sessionValues.values().stream().mapToLong(String::length).sum();
-    return preparedStatements.isTooLarge() || valueLength > MAXIMUM_KEPT_VALUE_LENGTH;
+    long length = 0;
+    for (Map.Entry<String, String> entry : sessionValues.entrySet()) {
+      length += entry.getKey().length() + entry.getValue().length();
+    }
+    return preparedStatements.isTooLarge() || length > MAXIMUM_KEPT_LENGTH_IN_CHARACTERS;
   }
 
   /** Drops all session values and prepared statements, and closes the connection on a refusal. */
