Test names of metrics without the requests' labels

It asks the same of MetricNames itself: 16 customers whose names differ give 16 metrics, and the report can be read.

--- a/runtime/src/test/java/org/toucanmast/runtime/metrics/AdminServerTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/metrics/AdminServerTest.java
@@ -17,7 +17,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.toucanmast.core.request.RequestKind;
 
 @Timeout(30)
 class AdminServerTest {
@@ -74,8 +73,9 @@
             "\u6771",
             "\u4eac",
             "\ud83d\ude00");
-    RequestMetrics metrics = new RequestMetrics(registry);
-    customers.forEach(customer -> metrics.onSucceeded(customer, RequestKind.READ, true, 1_000));
+    for (String customer : customers) {
+      registry.histogram(MetricNames.join("requests.microseconds.customer", customer)).update(1);
+    }
 
     HttpResponse<String> answer = metrics();
 
