Send positions of long reads first wherever reads are placed

Cause: one of two ways to start a read passed 'not wrapped' past the decision. Change: it asks the statement, like the other one.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -280,8 +280,7 @@
   private boolean placeRead(PendingStatement statement, long now) {
     ReadPlacement.Decision decision = readPlacement.decide(statement, now);
     switch (decision.kind()) {
-      case RUN ->
-          start(statement, decision.pool().orElseThrow(), decision.minimumPosition(), false);
+      case RUN -> start(statement, decision.pool().orElseThrow(), decision.minimumPosition());
       case PRIMARY -> redirectToPrimary(statement);
       case WAIT -> {
         return false;
