Escape endpoint ids in metric names

The gauges of learned limits joined the endpoint's id unescaped, so two ids that differ in punctuation only had one exported name, and two metrics of one name end the whole report. The last place found where a configured name was joined into a metric's name by hand. Learned limits are off by default.

--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/LearnedLimit.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/LearnedLimit.java
@@ -9,6 +9,7 @@
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.events.EventLog;
+import org.toucanmast.runtime.metrics.MetricNames;
 
 /**
  * The learned limit of one endpoint: passes it the results of attempts, and shows it in metrics and
@@ -58,11 +59,11 @@
   }
 
   private String limitName() {
-    return "endpoint.limit." + endpoint;
+    return MetricNames.join("endpoint.limit", endpoint);
   }
 
   private String serviceTimeName() {
-    return "endpoint.service." + endpoint;
+    return MetricNames.join("endpoint.service", endpoint);
   }
 
   /** Applies a newer entry; discards what was learned if the endpoint has restarted. */
