Refuse INI values that could not be shown

Change: a value that cannot be written as the same value is refused with a clear error when it is read, so that what is accepted can be shown by construction.

--- a/runtime/src/main/java/org/toucanmast/runtime/ini/ConfigurationText.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/ini/ConfigurationText.java
@@ -18,6 +18,8 @@
 public final class ConfigurationText {
   private static final String STORED = "the configuration";
   private static final String NOT_INI = "cannot be written as INI, only as JSON";
+  private static final String AMBIGUOUS =
+      "is ambiguous: quotes, backslashes or line breaks do not belong together";
 
   private ConfigurationText() {}
 
@@ -55,6 +57,13 @@
                 new TextProblem(source, header, "", "expected a kind and a name in the header"));
             return;
           }
+          values.forEach(
+              (key, value) -> {
+                // An accepted value must not be refused when the configuration is shown.
+                if (IniFile.format(key, value).isEmpty()) {
+                  problems.add(new TextProblem(source, header, key, AMBIGUOUS));
+                }
+              });
           document.addSections(
               Section.newBuilder()
                   .setKind(header.substring(0, space))
