--- a/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/platform/PlatformClient.java
@@ -41,9 +41,9 @@
  * all the same.
  */
 public final class PlatformClient {
-  /** Header of the platform's answers with its era; a platform without eras leaves it out. */
   private static final Escaper SEGMENT_ESCAPER = UrlEscapers.urlPathSegmentEscaper();
 
+  /** Header of the platform's answers with its era; a platform without eras leaves it out. */
   private static final String ERA_HEADER = "Platform-Era";
 
   private static final int OK = 200;
