--- a/cli/src/main/java/org/toucanmast/cli/explain/Cause.java
+++ b/cli/src/main/java/org/toucanmast/cli/explain/Cause.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.toucanmast.core.access.KeyClaim;
 import org.toucanmast.core.stop.StopPhase;
 import org.toucanmast.runtime.events.EventKind;
 import org.toucanmast.runtime.gateway.GroupGateway;
@@ -30,6 +31,16 @@
       return lines.outcomeReason().contains("keeper is silent");
     }
   },
+  /** The API key passed to another customer, or was withdrawn, before the request was sent. */
+  KEY_MOVED(
+      "The key passed to another customer, or was withdrawn, while the request waited or its"
+          + " transaction was open; nothing of it is kept.",
+      List.of(EventKind.CONFIGURATION)) {
+    @Override
+    boolean matches(RequestLines lines) {
+      return lines.outcomeReason().startsWith(KeyClaim.NOT_HELD);
+    }
+  },
   /** The API key or the database was not in the configuration. */
   NOT_ALLOWED(
       "The configuration in force at the VM does not permit the request.",
--- a/cli/src/test/java/org/toucanmast/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/toucanmast/cli/explain/ExplanationTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.toucanmast.core.access.KeyClaim;
 
 class ExplanationTest {
   private static final String CONFIGURATION =
@@ -55,6 +56,15 @@
     assertThat(explanation.cause()).contains(Cause.NO_PRIMARY);
   }
 
+  @Test
+  void should_report_a_key_that_moved_as_the_cause() throws IOException {
+    String fields = "\"code\":\"ABORTED\",\"reason\":\"" + KeyClaim.NOT_HELD + "; rolled back\"";
+
+    Explanation explanation = explain(CONFIGURATION, outcome("REQUEST_FAILED", fields));
+
+    assertThat(explanation.cause()).contains(Cause.KEY_MOVED);
+  }
+
   @Test
   void should_put_outcome_last_when_clock_of_its_vm_is_behind() throws IOException {
     Explanation explanation = explain(FAILED, AT_GATEWAY);
--- a/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
+++ b/core/src/main/java/org/toucanmast/core/catalog/Catalog.java
@@ -3,13 +3,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.toucanmast.core.access.KeyDirectory;
+import org.toucanmast.core.access.KeyFingerprint;
 
 /**
  * One version of the configuration, compiled for lookup.
  *
  * @param version the version number, which increases with each change; 0 before any configuration
  * @param routesByDatabase the routes by database name
- * @param customersByKey the customers by API key; a customer with several keys occurs once per key
+ * @param customersByKey the customers by the fingerprints of their API keys; a customer with
+ *     several keys occurs once per key
  * @param groups the limits of each database group by group name
  * @param idleTransactionInMilliseconds the idle time after which an open transaction is rolled back
  * @param leftOut which elements of the configuration cannot be used, and why
@@ -17,10 +20,11 @@
 public record Catalog(
     long version,
     Map<String, Route> routesByDatabase,
-    Map<String, Customer> customersByKey,
+    Map<KeyFingerprint, Customer> customersByKey,
     Map<String, GroupLimits> groups,
     long idleTransactionInMilliseconds,
-    List<String> leftOut) {
+    List<String> leftOut)
+    implements KeyDirectory<KeyFingerprint> {
 
   /** The catalog in use until a configuration has been loaded. */
   public static final Catalog EMPTY = new Catalog(0, Map.of(), Map.of(), Map.of(), 1);
@@ -29,7 +33,7 @@
   public Catalog(
       long version,
       Map<String, Route> routesByDatabase,
-      Map<String, Customer> customersByKey,
+      Map<KeyFingerprint, Customer> customersByKey,
       Map<String, GroupLimits> groups,
       long idleTransactionInMilliseconds) {
     this(
@@ -55,10 +59,27 @@
   }
 
   /** Returns the customer that an API key belongs to; empty when the key is unknown. */
-  public Optional<Customer> customer(String key) {
+  public Optional<Customer> customer(KeyFingerprint key) {
     return Optional.ofNullable(customersByKey.get(key));
   }
 
+  @Override
+  public Optional<String> holderOf(KeyFingerprint key) {
+    return customer(key).map(Customer::name);
+  }
+
+  /** Returns the number of keys that belonged to another customer in a former catalog. */
+  public long keysMovedSince(Catalog former) {
+    return customersByKey.entrySet().stream()
+        .filter(
+            entry ->
+                former
+                    .holderOf(entry.getKey())
+                    .filter(holder -> !holder.equals(entry.getValue().name()))
+                    .isPresent())
+        .count();
+  }
+
   /** Returns whether this catalog was compiled from a configuration. */
   public boolean isLoaded() {
     return version > 0;
--- a/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.toucanmast.core.access.KeyDirectory;
 
 /**
  * One validated revision of the fleet's configuration.
@@ -22,7 +24,8 @@
     Map<String, Database> databases,
     Map<String, Route> routes,
     Set<String> takenOutDataCentres,
-    Map<String, String> customersByKey) {
+    Map<String, String> customersByKey)
+    implements KeyDirectory<String> {
 
   /** Creates a configuration with unmodifiable copies of the collections. */
   public FleetConfiguration {
@@ -45,6 +48,24 @@
     return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
   }
 
+  @Override
+  public long version() {
+    return revision;
+  }
+
+  @Override
+  public Optional<String> holderOf(String keyHash) {
+    return Optional.ofNullable(customersByKey.get(keyHash));
+  }
+
+  /** Returns whether a public route that is counted under a name reads a database. */
+  public boolean hasRoute(String allowanceName, String database) {
+    return routes.values().stream()
+        .anyMatch(
+            route ->
+                route.allowanceName().equals(allowanceName) && route.database().equals(database));
+  }
+
   /** Returns whether an endpoint may be given new work. */
   public boolean acceptsWork(EndpointDescription endpoint) {
     return !endpoint.leaving() && !takenOutDataCentres.contains(endpoint.dataCentre());
--- a/core/src/main/java/org/toucanmast/core/request/Refusal.java
+++ b/core/src/main/java/org/toucanmast/core/request/Refusal.java
@@ -33,6 +33,8 @@
   UNAVAILABLE(503, Outcome.NOT_RUN, "no endpoint could run the request in time"),
   /** The VM cannot confirm which API keys are valid, because its configuration may be outdated. */
   KEYS_NOT_FRESH(503, Outcome.NOT_RUN, "this VM cannot confirm which keys are valid"),
+  /** The API key has passed to another customer since the request was accepted. */
+  KEY_MOVED(503, Outcome.NOT_RUN, "the key belongs to another customer by now"),
   /** The VM is shutting down. */
   STOPPING(503, Outcome.NOT_RUN, "this VM is stopping"),
   /** The request was sent to an endpoint, and no conclusive reply was received. */
@@ -62,10 +64,10 @@
    * Returns after how many seconds the caller should send the request again, or empty if there is
    * no better time than any. Another VM can serve a request that a stopping one refuses: the load
    * balancer has had the announced time to take the stopping VM out, and the refusal closes the
-   * connection.
+   * connection. A request whose key has moved is served for the customer that holds it now.
    */
   public OptionalInt retryAfterInSeconds() {
-    return this == STOPPING ? OptionalInt.of(0) : OptionalInt.empty();
+    return this == STOPPING || this == KEY_MOVED ? OptionalInt.of(0) : OptionalInt.empty();
   }
 
   /** Returns the message for the caller, a single line. */
--- a/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
+++ b/core/src/main/java/org/toucanmast/core/statement/StatementRequest.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 
 /**
@@ -10,7 +12,7 @@
  *
  * @param requestId the id that the caller gave the statement
  * @param group the database group
- * @param customer the name of the customer that the statement runs for
+ * @param claim the customer that the statement runs for, and the key by which it does
  * @param operation the operation to run
  * @param text the statement's text, or the arguments of a prepared statement
  * @param prepared the prepared statement to run; empty when {@code text} is a whole statement
@@ -29,7 +31,7 @@
 public record StatementRequest(
     String requestId,
     String group,
-    String customer,
+    KeyClaim<KeyFingerprint> claim,
     Operation operation,
     String text,
     Optional<PreparedShape> prepared,
@@ -52,6 +54,11 @@
     values = Map.copyOf(values);
   }
 
+  /** Returns the name of the customer that the statement runs for. */
+  public String customer() {
+    return claim.customer();
+  }
+
   /** Returns whether only the primary can run this request. */
   public boolean needsPrimary() {
     return switch (operation) {
@@ -85,7 +92,7 @@
     return new StatementRequest(
         "-",
         group,
-        customer,
+        claim,
         Operation.ROLLBACK,
         "",
         Optional.empty(),
@@ -117,7 +124,7 @@
     return new StatementRequest(
         requestId,
         group,
-        customer,
+        claim,
         operation,
         text,
         prepared,
--- a/core/src/test/java/org/toucanmast/core/catalog/CatalogTest.java
+++ b/core/src/test/java/org/toucanmast/core/catalog/CatalogTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.toucanmast.core.access.KeyFingerprint;
+import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.statement.RouteKind;
 
 class CatalogTest {
@@ -25,6 +28,22 @@
     assertThat(catalogOfVersion(3).newest(catalogOfVersion(7)).version()).isEqualTo(7);
   }
 
+  @Test
+  void should_count_the_keys_that_moved_to_another_customer() {
+    Catalog former = catalogWithHolders(1, Map.of("a", "first", "b", "first", "c", "second"));
+    Catalog present = catalogWithHolders(2, Map.of("a", "second", "b", "first", "d", "second"));
+
+    assertThat(present.keysMovedSince(former)).isEqualTo(1);
+  }
+
+  private static Catalog catalogWithHolders(long version, Map<String, String> holders) {
+    Map<KeyFingerprint, Customer> customers = new HashMap<>();
+    holders.forEach(
+        (key, name) ->
+            customers.put(KeyFingerprint.of(key), new Customer(name, new Allowance(1, 1))));
+    return new Catalog(version, Map.of(), customers, Map.of(), 3_000);
+  }
+
   @Test
   void should_refuse_a_route_without_a_group() {
     assertThatThrownBy(() -> new Route("db", "", RouteKind.PRIMARY, 0, 1_000, 200, 1, false))
--- a/core/src/test/java/org/toucanmast/core/usage/UsageCountsTest.java
+++ b/core/src/test/java/org/toucanmast/core/usage/UsageCountsTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
@@ -113,7 +115,7 @@
     return new StatementRequest(
         "id",
         "group",
-        "c",
+        new KeyClaim<>(KeyFingerprint.of("key"), "c", false, 1),
         operation,
         "x",
         Optional.empty(),
--- a/integration-tests/src/test/java/org/toucanmast/integration/OperatorTest.java
+++ b/integration-tests/src/test/java/org/toucanmast/integration/OperatorTest.java
@@ -105,19 +105,76 @@
     assertThat(showConfiguration()).isEqualTo(previousConfiguration);
   }
 
+  private static String grantKey(String customer) {
+    StringWriter output = new StringWriter();
+    SharedFleet.fleet().runOperatorCommand(output, "key", "grant", customer);
+    return output
+        .toString()
+        .lines()
+        .filter(line -> line.startsWith("key "))
+        .findFirst()
+        .orElseThrow()
+        .substring(4);
+  }
+
+  /** Guards against steps of a transaction that run for a customer that no longer holds the key. */
+  @Test
+  void should_roll_back_a_transaction_whose_key_moves_to_another_customer() throws IOException {
+    Fleet fleet = SharedFleet.fleet();
+    String key = grantKey("bench-3");
+    Caller caller = new Caller(SharedFleet.callerAddress(2), key);
+    Caller otherVm = new Caller(SharedFleet.callerAddress(1), key);
+    Fleet.waitFor(
+        () -> caller.read("stock", "get a", "").outcome().equals("ran"),
+        "the granted key to be accepted");
+    List<String> transactions = new ArrayList<>();
+    for (int number = 0; number < 4; number++) {
+      transactions.add(caller.begin("stock").body().getString("transaction"));
+      caller.step(transactions.get(number), "statements", "put moved-key 1");
+    }
+
+    moveKey(FleetConfiguration.hashOfKey(key), "bench-4");
+    Fleet.waitFor(
+        () -> caller.step(transactions.get(0), "statements", "get a").status() != 200,
+        "the moved key to be refused in a transaction");
+
+    Caller.Answer statement = caller.step(transactions.get(1), "statements", "put moved-key 2");
+    Caller.Answer commit = caller.step(transactions.get(2), "commit");
+    Caller.Answer forwarded = otherVm.step(transactions.get(3), "commit");
+    assertThat(List.of(statement, commit, forwarded))
+        .allSatisfy(
+            answer -> {
+              assertThat(answer.status()).isEqualTo(409);
+              assertThat(answer.body().getString("code")).isEqualTo("rolled-back");
+              assertThat(answer.outcome()).isEqualTo("not-run");
+            });
+    assertThat(caller.step(transactions.get(1), "commit").status()).isEqualTo(404);
+    assertThat(caller.read("stock", "get moved-key", "").row()).isEmpty();
+    fleet.runOperatorCommand(
+        "key", "withdraw", "bench-4", FleetConfiguration.hashOfKey(key).substring(0, 12));
+  }
+
+  /** Moves a key in one edit, so that there is no time at which nobody holds it. */
+  private void moveKey(String hash, String customer) throws IOException {
+    String section = "[customer " + customer + "]";
+    List<String> lines = new ArrayList<>();
+    String sectionOfLine = "";
+    for (String line : showConfiguration().replace("," + hash, "").split("\n")) {
+      sectionOfLine = line.startsWith("[") ? line : sectionOfLine;
+      boolean isKeysOfCustomer = sectionOfLine.equals(section) && line.startsWith("keys = ");
+      lines.add(isKeysOfCustomer ? line + "," + hash : line);
+    }
+    Path file = writeConfiguration(String.join("\n", lines) + "\n");
+    int exitCode =
+        SharedFleet.fleet().runOperatorCommand("configuration", "apply", file.toString());
+    assertThat(exitCode).isEqualTo(ExitCodes.OK);
+    assertThat(showConfiguration()).contains(hash);
+  }
+
   @Test
   void should_accept_a_granted_key_until_it_is_withdrawn() throws IOException {
     Fleet fleet = SharedFleet.fleet();
-    StringWriter output = new StringWriter();
-    fleet.runOperatorCommand(output, "key", "grant", "bench-3");
-    String key =
-        output
-            .toString()
-            .lines()
-            .filter(line -> line.startsWith("key "))
-            .findFirst()
-            .orElseThrow()
-            .substring(4);
+    String key = grantKey("bench-3");
     Caller caller = new Caller(SharedFleet.callerAddress(2), key);
 
     Fleet.waitFor(
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Access;
 import org.toucanmast.core.statement.Operation;
@@ -44,7 +46,11 @@
             .setReadOnly(request.readOnly())
             .setPriority(request.priority())
             .setRemainingInMilliseconds(request.remainingInMilliseconds())
-            .setNearbyOnly(request.nearbyOnly());
+            .setNearbyOnly(request.nearbyOnly())
+            .setKeyHigh(request.claim().key().high())
+            .setKeyLow(request.claim().key().low())
+            .setOpenRoute(request.claim().isOpen())
+            .setConfigurationVersion(request.claim().version());
     request
         .prepared()
         .ifPresent(
@@ -66,7 +72,7 @@
     return new StatementRequest(
         call.getRequestId(),
         call.getGroup(),
-        call.getCustomer(),
+        toClaim(call),
         OPERATIONS[call.getOperation()],
         call.getText(),
         prepared,
@@ -84,6 +90,14 @@
         call.getNearbyOnly());
   }
 
+  private static KeyClaim<KeyFingerprint> toClaim(StatementCall call) {
+    return new KeyClaim<>(
+        new KeyFingerprint(call.getKeyHigh(), call.getKeyLow()),
+        call.getCustomer(),
+        call.getOpenRoute(),
+        call.getConfigurationVersion());
+  }
+
   static StatementAnswer toAnswer(long callId, StatementResult result) {
     return StatementAnswer.newBuilder()
         .setCallId(callId)
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/AttemptResultHandler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.toucanmast.core.access.KeyClaim;
 import org.toucanmast.core.request.RetryBudget;
 import org.toucanmast.core.statement.EndpointCommand;
 import org.toucanmast.core.statement.EndpointReply;
@@ -111,7 +112,11 @@
     PendingStatement statement = attempt.statement();
     transactions.find(statement.request()).ifPresent(transactions::remove);
     if (statement.request().transaction() != StatementRequest.NO_TRANSACTION) {
-      statement.fail(ResultCode.ABORTED, "the values of the session could not be applied");
+      String reason =
+          context.isHeld(statement.request().claim())
+              ? "the values of the session could not be applied"
+              : KeyClaim.NOT_HELD;
+      statement.fail(ResultCode.ABORTED, reason);
     } else {
       retryOrFail(attempt, ResultCode.BUSY);
     }
@@ -129,6 +134,11 @@
     context.log().log(EventKind.SESSION_STATE, event, all.toArray());
   }
 
+  @Override
+  public boolean isKeyHeld(StatementAttempt attempt) {
+    return context.isHeld(attempt.statement().request().claim());
+  }
+
   @Override
   public long onSent(StatementAttempt attempt) {
     return context.startedStatements().onStarted(attempt.statement().request());
@@ -255,7 +265,7 @@
     }
     OpenTransaction transaction = existing.orElseGet(() -> registerTransaction(attempt, now));
     transaction.setScope(attempt.scope().after(request.operation()));
-    transaction.setRunning(false, now);
+    transaction.setIdle(now);
     statement.finish(StatementResult.of(reply, transaction.handle()));
   }
 
@@ -271,6 +281,7 @@
         new OpenTransaction(
             context.nextTransactionHandle(),
             attempt.statement().origin(),
+            attempt.statement().request().claim(),
             attempt.pool(),
             attempt.connection(),
             attempt.scope(),
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointConnection.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.gateway.ConnectionStatements;
 import org.toucanmast.core.statement.EndpointCommand;
@@ -74,6 +75,7 @@
   private final ConnectionStatements preparedStatements = new ConnectionStatements();
   private final Buffer unsent = Buffer.buffer();
   private NetSocket socket;
+  private BooleanSupplier openingGuard = () -> true;
   private boolean opened;
   private boolean closed;
   private boolean busy;
@@ -148,7 +150,22 @@
         reason.getMessage());
   }
 
+  /**
+   * Sets whether the commands that wait for the endpoint to accept the connection may still be sent
+   * then; if not, the connection is closed instead.
+   */
+  void setOpeningGuard(BooleanSupplier guard) {
+    if (!opened) {
+      openingGuard = guard;
+    }
+  }
+
   private void onOpened() {
+    if (!openingGuard.getAsBoolean()) {
+      end(Loss.CLOSED, false);
+      return;
+    }
+    openingGuard = () -> true;
     opened = true;
     openedAt = clock.now();
     if (unsent.length() > 0 && !closed) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/EndpointPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.failover.PrimaryFailureDetector;
 import org.toucanmast.core.freshness.PositionHistory;
@@ -227,18 +228,14 @@
    * new one. Returns empty if the connection limit is reached and no connection is idle.
    */
   Optional<EndpointConnection> acquire(String customer, Map<String, String> sessionValues) {
-    Optional<EndpointConnection> idle =
+    return take(
         connections.stream()
             .filter(connection -> !connection.isBusy() && connection.customer().equals(customer))
             .max(
                 Comparator.<EndpointConnection, Boolean>comparing(
                         connection -> connection.hasSessionValues(sessionValues))
-                    .thenComparing(EndpointConnection::lastUsedAt));
-    if (idle.isEmpty()) {
-      idle = openConnection(customer);
-    }
-    idle.ifPresent(connection -> connection.setBusy(true));
-    return idle;
+                    .thenComparing(EndpointConnection::lastUsedAt)),
+        customer);
   }
 
   /**
@@ -246,11 +243,12 @@
    * limit is reached and no connection is idle.
    */
   Optional<EndpointConnection> acquireAny(String customer) {
-    Optional<EndpointConnection> found =
-        connections.stream().filter(connection -> !connection.isBusy()).findFirst();
-    if (found.isEmpty()) {
-      found = openConnection(customer);
-    }
+    return take(
+        connections.stream().filter(connection -> !connection.isBusy()).findFirst(), customer);
+  }
+
+  private Optional<EndpointConnection> take(Optional<EndpointConnection> idle, String customer) {
+    Optional<EndpointConnection> found = idle.or(() -> openConnection(customer));
     found.ifPresent(connection -> connection.setBusy(true));
     return found;
   }
@@ -388,14 +386,15 @@
     runningStatements--;
   }
 
-  /**
-   * Closes the connections that have been idle for at least the given time: they count towards the
-   * endpoint's limit, which other VMs may need.
-   */
+  /** Closes connections that have been idle for the given time: other VMs may need them. */
   void closeIdle(long idleMilliseconds) {
-    long cutoff = clock.now() - idleMilliseconds;
+    closeIdleIf(connection -> connection.lastUsedAt() <= clock.now() - idleMilliseconds);
+  }
+
+  /** Closes the matching connections that are idle. */
+  void closeIdleIf(Predicate<EndpointConnection> condition) {
     connections.stream()
-        .filter(connection -> !connection.isBusy() && connection.lastUsedAt() <= cutoff)
+        .filter(connection -> !connection.isBusy() && condition.test(connection))
         .toList()
         .forEach(EndpointConnection::close);
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -8,8 +8,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.catalog.GroupLimits;
@@ -17,6 +20,7 @@
 import org.toucanmast.core.concurrency.EndpointLimits;
 import org.toucanmast.core.concurrency.TimerDelay;
 import org.toucanmast.core.feature.Feature;
+import org.toucanmast.core.freshness.PositionHistory;
 import org.toucanmast.core.link.LocalHealth;
 import org.toucanmast.core.mirror.ChangePromises;
 import org.toucanmast.runtime.clock.VmClock;
@@ -55,6 +59,7 @@
   private BooleanSupplier isolated = () -> false;
   private Catalog catalog = Catalog.EMPTY;
   private Optional<String> probeCustomer = Optional.empty();
+  private Set<String> customers = Set.of();
   private Map<String, Long> takenOutSince = Map.of();
   private ChangePromises promises = ChangePromises.DEFAULT;
   private Set<Feature> features = Set.of();
@@ -129,10 +134,21 @@
   /** Applies a configuration. */
   public void setCatalog(Catalog newer) {
     catalog = newer;
-    probeCustomer =
-        newer.customersByKey().values().stream()
-            .map(customer -> customer.name())
-            .min(String::compareTo);
+    Set<String> holders = new TreeSet<>();
+    newer.customersByKey().values().forEach(customer -> holders.add(customer.name()));
+    probeCustomer = holders.stream().findFirst();
+    holders.add(KeyClaim.ANONYMOUS);
+    customers = holders;
+  }
+
+  /** Returns whether the customer of a request still holds the key by which it was made. */
+  public boolean isHeld(KeyClaim<KeyFingerprint> claim) {
+    return claim.isHeldIn(catalog);
+  }
+
+  /** Returns whether a customer holds a key, or the name stands for anonymous callers. */
+  boolean holdsKey(String customer) {
+    return customers.contains(customer);
   }
 
   /**
@@ -158,6 +174,27 @@
     return timerDelay;
   }
 
+  /**
+   * Returns the pool of an endpoint that has no connections yet.
+   *
+   * @param history the positions of the endpoint's group
+   * @param changedSince the earliest time at which the entry may have been changed
+   */
+  EndpointPool newPool(PositionHistory history, EndpointEntry entry, long changedSince) {
+    return new EndpointPool(
+        client,
+        dialect,
+        clock,
+        log,
+        history,
+        entry,
+        changedSince,
+        new PoolLimits(
+            leavingPrimaryGraceInMilliseconds(),
+            maximumConnections(entry.group()),
+            learnedLimit(entry)));
+  }
+
   /** Returns a new learned limit of an endpoint; empty where limits are not learned. */
   Optional<LearnedLimit> learnedLimit(EndpointEntry entry) {
     if (!isEnabled(Feature.LEARNED_LIMITS)) {
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GroupGateway.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.toucanmast.core.access.KeyClaim;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.feature.Feature;
 import org.toucanmast.core.freshness.PositionHistory;
@@ -45,6 +46,7 @@
   private final PrimaryMonitor primaryMonitor;
   private final StatementQueues queues;
   private final WaitingStatements waitingStatements;
+  private final FormerHolders formerHolders;
   private final OverdueAttempts overdueAttempts;
   private final SilentConnections silentConnections;
   private final NearbyReplicas nearbyReplicas;
@@ -65,6 +67,7 @@
         new PrimaryMonitor(context, group, pools, history, this::hasRunningWrites, this::dispatch);
     this.queues = new StatementQueues(context, pools, primaryMonitor);
     this.waitingStatements = new WaitingStatements(transactions, queues, this::rollBack);
+    this.formerHolders = new FormerHolders(context, transactions, queues, this::rollBack);
     this.overdueAttempts = new OverdueAttempts(context, queues, retryBudget);
     this.silentConnections = new SilentConnections(context, pools.values(), runningAttempts);
     this.nearbyReplicas = new NearbyReplicas(context.dataCentre(), pools, primaryMonitor);
@@ -98,19 +101,7 @@
   public void onEndpointUpdated(EndpointEntry entry, long changedSince) {
     EndpointPool pool = pools.get(entry.id());
     if (pool == null) {
-      pool =
-          new EndpointPool(
-              context.client(),
-              context.endpointDialect(),
-              context.clock(),
-              context.log(),
-              history,
-              entry,
-              changedSince,
-              new PoolLimits(
-                  context.leavingPrimaryGraceInMilliseconds(),
-                  context.maximumConnections(group),
-                  context.learnedLimit(entry)));
+      pool = context.newPool(history, entry, changedSince);
       pools.put(entry.id(), pool);
     } else {
       pool.update(entry, changedSince);
@@ -138,7 +129,9 @@
     for (EndpointPool pool : pools.values()) {
       pool.setMaximumConnections(context.maximumConnections(group));
       pool.setTakenOut(context.takenOutSince(pool.entry().dataCentre()));
+      pool.closeIdleIf(connection -> !context.holdsKey(connection.customer()));
     }
+    formerHolders.endWork();
     dispatch();
   }
 
@@ -172,7 +165,7 @@
       statement.fail(ResultCode.BUSY, CLOSED);
       return;
     }
-    if (waitingStatements.refuses(statement)) {
+    if (waitingStatements.refuses(statement) || formerHolders.refuses(statement)) {
       return;
     }
     retryBudget.recordFirstAttempt();
@@ -201,7 +194,7 @@
       return;
     }
     OpenTransaction transaction = found.get();
-    transaction.setRunning(true, now);
+    transaction.continueWith(statement.request().claim(), now);
     if (statement.request().operation() == Operation.ROLLBACK) {
       rollBack(transaction);
       statement.finish(StatementResult.emptySuccess());
@@ -226,7 +219,7 @@
       long now = context.clock().now();
       dispatchTransactionStatements();
       if (scheduler.isPresent()) {
-        scheduler.get().dispatch(statement -> expireIfOverdue(statement, now), this::start, now);
+        scheduler.get().dispatch(statement -> endIfUnstartable(statement, now), this::start, now);
       } else {
         dispatchToPrimary(now);
         dispatchReads(now);
@@ -242,6 +235,8 @@
       if (transaction.isEmpty()) {
         transactions.removeWaiting(statement);
         statement.fail(ResultCode.ABORTED, "the transaction is no longer open");
+      } else if (formerHolders.refuses(statement)) {
+        transactions.removeWaiting(statement);
       } else if (primaryMonitor.mayContinue(transaction.get(), statement.request())) {
         transactions.removeWaiting(statement);
         startInTransaction(statement, transaction.get());
@@ -256,7 +251,7 @@
         return;
       }
       PendingStatement statement = queues.nextForPrimary(now).orElseThrow();
-      if (!expireIfOverdue(statement, now)) {
+      if (!endIfUnstartable(statement, now)) {
         boolean wrapped = statement.request().operation() == Operation.READ;
         start(statement, primary.get(), Optional.empty(), wrapped);
       }
@@ -269,7 +264,7 @@
         return;
       }
       PendingStatement read = queues.currentRead(now).orElseThrow();
-      if (!expireIfOverdue(read, now) && !placeRead(read, now)) {
+      if (!endIfUnstartable(read, now) && !placeRead(read, now)) {
         return;
       }
       queues.removeCurrentRead();
@@ -309,15 +304,17 @@
   }
 
   /**
-   * Fails a statement whose deadline has passed, unless an attempt at it is running. Returns
-   * whether the statement must not be started any more.
+   * Fails a statement whose deadline has passed or whose key has changed hands, unless an attempt
+   * at it is running. Returns whether the statement must not be started any more.
    */
-  private boolean expireIfOverdue(PendingStatement statement, long now) {
-    if (now < statement.deadline()) {
+  private boolean endIfUnstartable(PendingStatement statement, long now) {
+    boolean overdue = now >= statement.deadline();
+    if (!overdue && context.isHeld(statement.request().claim())) {
       return statement.isDone();
     }
     if (!statement.hasRunningAttempt()) {
-      statement.fail(ResultCode.BUSY, "waited too long for an endpoint");
+      statement.fail(
+          ResultCode.BUSY, overdue ? "waited too long for an endpoint" : KeyClaim.NOT_HELD);
     }
     return true;
   }
@@ -388,7 +385,7 @@
       overdueAttempts.check(attempt, now);
     }
     scheduler.ifPresent(present -> present.estimateAgain(now));
-    queues.removeExpired(now).forEach(statement -> expireIfOverdue(statement, now));
+    queues.removeExpired(now).forEach(statement -> endIfUnstartable(statement, now));
     waitingStatements.expireInTransactions(now);
     transactions.idleFor(context.idleTransactionTimeoutMilliseconds(), now).forEach(this::rollBack);
     primaryMonitor.sweep(now, active, queues.hasStatementsForPrimary());
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransaction.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransaction.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.gateway;
 
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.failover.TransactionScope;
 import org.toucanmast.core.membership.VmRun;
 
@@ -10,18 +12,26 @@
   private final EndpointPool pool;
   private final EndpointConnection connection;
   private TransactionScope scope;
+  private KeyClaim<KeyFingerprint> claim;
   private long idleSince;
   private boolean running;
 
+  /**
+   * Creates a transaction of which no statement is running.
+   *
+   * @param claim the customer for whom the transaction was begun
+   */
   OpenTransaction(
       long handle,
       VmRun origin,
+      KeyClaim<KeyFingerprint> claim,
       EndpointPool pool,
       EndpointConnection connection,
       TransactionScope scope,
       long now) {
     this.handle = handle;
     this.origin = origin;
+    this.claim = claim;
     this.pool = pool;
     this.connection = connection;
     this.scope = scope;
@@ -53,8 +63,21 @@
     scope = newScope;
   }
 
-  void setRunning(boolean newRunning, long now) {
-    running = newRunning;
+  /** Returns the customer for whom the transaction runs, as of its last statement. */
+  KeyClaim<KeyFingerprint> claim() {
+    return claim;
+  }
+
+  /** Records that a statement of the transaction runs or waits. */
+  void continueWith(KeyClaim<KeyFingerprint> newClaim, long now) {
+    claim = newClaim;
+    running = true;
+    idleSince = now;
+  }
+
+  /** Records that the statement has ended. */
+  void setIdle(long now) {
+    running = false;
     idleSince = now;
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransactions.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/OpenTransactions.java
@@ -51,11 +51,15 @@
     waiting.forEach(statement -> statement.fail(ResultCode.ABORTED, reason));
   }
 
+  /** Returns the transactions of which no statement is running. */
+  List<OpenTransaction> idle() {
+    return byHandle.values().stream().filter(transaction -> !transaction.isRunning()).toList();
+  }
+
   /** Returns the transactions that have been idle for longer than the given time. */
   List<OpenTransaction> idleFor(long milliseconds, long now) {
-    return byHandle.values().stream()
-        .filter(
-            transaction -> !transaction.isRunning() && now - transaction.idleSince() > milliseconds)
+    return idle().stream()
+        .filter(transaction -> now - transaction.idleSince() > milliseconds)
         .toList();
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/StatementAttempt.java
@@ -48,9 +48,12 @@
      */
     void onAlignmentRefused(StatementAttempt attempt, EndpointCommand command, EndpointReply reply);
 
+    /** Returns whether the customer of the statement still holds the key. */
+    boolean isKeyHeld(StatementAttempt attempt);
+
     /**
-     * Called when the statement ended, or its deadline passed, while the connection was aligned; it
-     * was not sent.
+     * Called when the statement ended, its deadline passed, or its key changed hands while the
+     * connection was aligned or the transaction begun; it was not sent.
      */
     void onEndedBeforeSent(StatementAttempt attempt);
 
@@ -127,6 +130,7 @@
     pool.takeSlot();
     concurrency = pool.runningStatements();
     pool.learned().ifPresent(limit -> timerDelayAtStart = limit.timerDelay(startedAt));
+    connection.setOpeningGuard(() -> resultHandler.isKeyHeld(this));
     StatementRequest request = statement.request();
     alignment = connection.alignSession(request.values(), request.prepared());
     if (!alignment.isEmpty()) {
@@ -212,15 +216,20 @@
 
   private void onAligned() {
     alignedAt = connection.lastUsedAt();
-    if (statement.isDone() || alignedAt >= statement.deadline()) {
-      stage = Stage.ENDED;
-      releaseSlot();
-      resultHandler.onEndedBeforeSent(this);
+    boolean isOver = statement.isDone() || alignedAt >= statement.deadline();
+    if (isOver || !resultHandler.isKeyHeld(this)) {
+      endBeforeSent();
     } else {
       sendStatement(minimumPosition);
     }
   }
 
+  private void endBeforeSent() {
+    stage = Stage.ENDED;
+    releaseSlot();
+    resultHandler.onEndedBeforeSent(this);
+  }
+
   private void onBeginReply(EndpointReply reply) {
     if (!reply.isSuccess()) {
       stage = Stage.ENDED;
@@ -228,7 +237,13 @@
       resultHandler.onBeginRefused(this, reply);
       return;
     }
-    sendStatement(Optional.empty());
+    if (resultHandler.isKeyHeld(this)) {
+      sendStatement(Optional.empty());
+    } else {
+      // The endpoint rolls back the transaction of a closed connection.
+      connection.close();
+      endBeforeSent();
+    }
   }
 
   private void onStatementReply(EndpointReply reply) {
--- a/runtime/src/main/java/org/toucanmast/runtime/request/AccessControl.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/AccessControl.java
@@ -43,29 +43,35 @@
       throw new RefusedException(Refusal.KEYS_NOT_FRESH);
     }
     String hash = FleetConfiguration.hashOfKey(key);
-    String customer = configuration.current().customersByKey().get(hash);
-    if (customer == null) {
+    Optional<String> customer = configuration.current().holderOf(hash);
+    if (customer.isEmpty()) {
       throw new RefusedException(Refusal.UNAUTHENTICATED);
     }
-    return new Principal(customer, hash);
+    return new Principal(customer.get(), hash);
   }
 
   /**
-   * Checks that a principal may use a database now. Anonymous principals are always accepted.
+   * Checks that a principal may use a database now.
    *
-   * @throws RefusedException if the known keys are not fresh, the key was withdrawn, or the
-   *     customer may not use the database at this time
+   * @throws RefusedException if the known keys are not fresh, the key was withdrawn or has moved to
+   *     another customer, the customer may not use the database at this time, or the open route of
+   *     an anonymous principal no longer reads the database
    */
   public void check(Principal principal, String database, Instant now) throws RefusedException {
+    FleetConfiguration current = configuration.current();
     if (principal.isAnonymous()) {
+      if (!current.hasRoute(principal.name(), database)) {
+        throw new RefusedException(Refusal.NOT_FOUND);
+      }
       return;
     }
     if (!keysAreFresh.getAsBoolean()) {
       throw new RefusedException(Refusal.KEYS_NOT_FRESH);
     }
-    FleetConfiguration current = configuration.current();
-    if (!principal.name().equals(current.customersByKey().get(principal.keyHash()))) {
-      throw new RefusedException(Refusal.UNAUTHENTICATED);
+    switch (principal.claim().statusIn(current)) {
+      case MOVED -> throw new RefusedException(Refusal.KEY_MOVED);
+      case WITHDRAWN -> throw new RefusedException(Refusal.UNAUTHENTICATED);
+      default -> {}
     }
     Optional<Customer> customer = Optional.ofNullable(current.customers().get(principal.name()));
     boolean allowed =
--- a/runtime/src/main/java/org/toucanmast/runtime/request/RequestProcessor.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/request/RequestProcessor.java
@@ -77,8 +77,9 @@
   }
 
   /**
-   * Checks access for a request that was not sent to any endpoint yet, and takes a token of the
-   * customer's allowance.
+   * Checks access for a request that was not sent to any endpoint yet, takes a token of the
+   * customer's allowance, and checks access again: a refused token may be that of a customer that
+   * no longer holds the key.
    *
    * @return the group of the requested database; fails with {@link RefusedException}
    */
@@ -93,7 +94,19 @@
       return Future.failedFuture(new RefusedException(Refusal.NOT_FOUND));
     }
     group.markUsed(clock.getAsLong());
-    return allowances.admit(request.principal().name(), request.deadline()).map(group);
+    return allowances
+        .admit(request.principal().name(), request.deadline())
+        .transform(
+            admitted -> {
+              try {
+                checkAccess(request);
+              } catch (RefusedException e) {
+                return Future.failedFuture(e);
+              }
+              return admitted.succeeded()
+                  ? Future.succeededFuture(group)
+                  : Future.failedFuture(admitted.cause());
+            });
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -5,7 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import org.toucanmast.core.catalog.Customer;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Route;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.session.SessionVariables;
@@ -100,13 +101,14 @@
       closeWith(context.dialect().refusal(ResultCode.MALFORMED, "the session is open already"));
       return;
     }
-    Optional<SessionAccess.Refusal> refusal = SessionAccess.refusalOf(context, open, variables);
+    SessionAccess requested = new SessionAccess(context, open.database(), open.key());
+    Optional<SessionAccess.Refusal> refusal = requested.refusalToOpen(variables);
     if (refusal.isPresent()) {
       writer.logRefusedSession(refusal.get().code());
       closeWith(context.dialect().refusal(refusal.get().code(), refusal.get().reason()));
       return;
     }
-    access = new SessionAccess(context, open.database(), open.key());
+    access = requested;
     writer.write(context.dialect().ready(TransactionState.NONE, Position.NONE));
   }
 
@@ -121,7 +123,8 @@
         statement instanceof Statement.Commit || statement instanceof Statement.Rollback;
     Optional<ResultCode> refusal = context.stopPhase().refusalOf(statement, state());
     if (refusal.isPresent()) {
-      refuseAtStop(query.requestId(), refusal.get(), isEnd);
+      refuseAndRollBack(
+          query.requestId(), new SessionAccess.Refusal(refusal.get(), StopPhase.REASON), isEnd);
     } else if (state() == TransactionState.FAILED && !isEnd) {
       refuse(query.requestId(), ResultCode.MALFORMED, "the transaction failed and must be ended");
     } else if (statement instanceof Statement.Begin begin) {
@@ -139,25 +142,18 @@
     }
   }
 
-  /** Refuses a statement because the VM stops; its transaction is rolled back. */
-  private void refuseAtStop(String requestId, ResultCode code, boolean isEnd) {
+  /** Refuses a statement; its transaction, if there is one, is rolled back. */
+  private void refuseAndRollBack(String requestId, SessionAccess.Refusal refusal, boolean isEnd) {
     SessionTransaction current = transaction;
     rollBackAtGateway();
     transaction = current == null || isEnd ? null : current.failed();
-    refuse(requestId, code, StopPhase.REASON);
+    refuse(requestId, refusal);
   }
 
   private void handleSessionStatement(String requestId, Statement statement) {
-    if (statement instanceof Statement.Invalid invalid) {
-      refuse(requestId, invalid.code(), invalid.reason());
-      return;
-    }
-    ResultCode code = variables.apply(statement);
-    if (code == ResultCode.SUCCESS) {
-      writeSuccess();
-    } else {
-      refuse(requestId, code, SessionVariables.reason(code));
-    }
+    access
+        .apply(statement, variables, transaction != null)
+        .ifPresentOrElse(refusal -> refuse(requestId, refusal), this::writeSuccess);
   }
 
   private void begin(String requestId, Statement.Begin begin) {
@@ -167,9 +163,9 @@
     }
     admit(
         requestId,
-        (route, customer) -> {
+        (route, claim) -> {
           transaction =
-              new SessionTransaction(route, customer, begin.readOnly())
+              new SessionTransaction(route, claim, begin.readOnly())
                   .afterStatement(context.clock().now() - receivedAt);
           writeSuccess();
         });
@@ -200,7 +196,7 @@
     transaction = null;
     if (ending != null && ending.isOpenAtGateway()) {
       StatementRequest request = request("-", Operation.ROLLBACK, "", Optional.empty(), ending);
-      context.sender().sendInTransaction(ending.location(), request, (result, location) -> {});
+      context.sender().rollBack(ending.location(), request, ending.handle());
     }
   }
 
@@ -224,7 +220,7 @@
     Operation operation = writes ? Operation.WRITE : Operation.READ;
     admit(
         requestId,
-        (route, customer) -> runAutocommit(requestId, operation, text, shape, route, customer));
+        (route, claim) -> runAutocommit(requestId, operation, text, shape, route, claim));
   }
 
   private void runAutocommit(
@@ -233,8 +229,8 @@
       String text,
       Optional<PreparedShape> shape,
       Route route,
-      Customer customer) {
-    SessionTransaction noTransaction = new SessionTransaction(route, customer, false);
+      KeyClaim<KeyFingerprint> claim) {
+    SessionTransaction noTransaction = new SessionTransaction(route, claim, false);
     StatementRequest request = request(requestId, operation, text, shape, noTransaction);
     long startedAt = context.clock().now();
     running = Optional.of(RunningStatement.of(request, startedAt));
@@ -242,7 +238,7 @@
         (result, location) -> {
           running = Optional.empty();
           if (result.code().guaranteesNoEffect()) {
-            context.allowances().returnToken(customer);
+            context.allowances().returnToken(claim.customer());
           }
           if (result.isSuccess() && operation == Operation.WRITE) {
             lastCommitted = lastCommitted.maximum(result.position());
@@ -255,12 +251,16 @@
   private void inTransaction(
       String requestId, Operation operation, String text, Optional<PreparedShape> shape) {
     SessionTransaction current = transaction;
-    if (!access.isAuthorized(current.route())) {
-      rollBackAtGateway();
-      transaction = operation == Operation.COMMIT ? null : current.failed();
-      refuse(requestId, ResultCode.NO_CUSTOMER, "the key was withdrawn");
+    Optional<SessionAccess.Refusal> refusal = access.refusalOf(current);
+    if (refusal.isPresent()) {
+      if (!current.isOpenAtGateway()) {
+        context.allowances().returnToken(current.claim().customer());
+      }
+      refuseAndRollBack(requestId, refusal.get(), operation == Operation.COMMIT);
       return;
     }
+    current = current.withClaim(current.claim().confirmedBy(context.catalog()));
+    transaction = current;
     StatementRequest request = request(requestId, operation, text, shape, current);
     long startedAt = context.clock().now();
     running = Optional.of(RunningStatement.of(request, startedAt));
@@ -292,7 +292,7 @@
     } else {
       transaction = current.failed();
       if (!current.isOpenAtGateway() && result.code().guaranteesNoEffect()) {
-        context.allowances().returnToken(current.customer());
+        context.allowances().returnToken(current.claim().customer());
       }
     }
     if (ended) {
@@ -305,23 +305,17 @@
   /** Rolls back a transaction that a statement opened after its session had ended. */
   private void rollBackAbandoned(
       StatementRequest request, StatementResult result, GatewayLocation location) {
-    Optional<Route> route = access.route();
-    boolean opened = result.isSuccess() && result.transaction() != StatementRequest.NO_TRANSACTION;
-    if (opened && route.isPresent()) {
-      Customer customer = SessionAccess.customerOf(request);
-      transaction =
-          new SessionTransaction(route.get(), customer, false)
-              .openAt(location, result.transaction());
-      rollBackAtGateway();
+    if (result.isSuccess() && result.transaction() != StatementRequest.NO_TRANSACTION) {
+      context.sender().rollBack(location, request, result.transaction());
     }
   }
 
   /** Runs the action if the key may use the route and the customer's allowance has a token left. */
-  private void admit(String requestId, BiConsumer<Route, Customer> action) {
+  private void admit(String requestId, BiConsumer<Route, KeyClaim<KeyFingerprint>> action) {
     running = Optional.of(RunningStatement.awaitingAdmission(requestId, receivedAt));
     access.admit(
-        (route, customer) -> onAdmissionDecided(() -> action.accept(route, customer)),
-        refusal -> onAdmissionDecided(() -> refuse(requestId, refusal.code(), refusal.reason())));
+        (route, claim) -> onAdmissionDecided(() -> action.accept(route, claim)),
+        refusal -> onAdmissionDecided(() -> refuse(requestId, refusal)));
   }
 
   private void onAdmissionDecided(Runnable action) {
@@ -363,6 +357,10 @@
     handlePending();
   }
 
+  private void refuse(String requestId, SessionAccess.Refusal refusal) {
+    refuse(requestId, refusal.code(), refusal.reason());
+  }
+
   private void refuse(String requestId, ResultCode code, String reason) {
     writer.refuse(requestId, code, reason, state(), lastCommitted);
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/session/ConfigurationListener.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/ConfigurationListener.java
@@ -78,7 +78,9 @@
         "revision",
         object.revision(),
         "routes",
-        received.routesByDatabase().size());
+        received.routesByDatabase().size(),
+        "keys_moved",
+        received.keysMovedSince(sessions.catalog()));
     received
         .leftOut()
         .forEach(
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
@@ -3,21 +3,17 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.toucanmast.core.catalog.Catalog;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Customer;
 import org.toucanmast.core.catalog.Route;
-import org.toucanmast.core.configuration.Allowance;
 import org.toucanmast.core.session.SessionVariables;
 import org.toucanmast.core.statement.ResultCode;
-import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.core.statement.Statement;
 import org.toucanmast.core.stop.StopPhase;
-import org.toucanmast.runtime.port.CallerMessage;
 
 /** What a session may use: the database and the key that it was opened with. */
 final class SessionAccess {
-  /** Stands for callers without a known key on open routes; endpoints are told its name. */
-  private static final Customer ANONYMOUS = new Customer("-", new Allowance(1e9, 1e9));
-
   /**
    * Why an operation or a session is refused.
    *
@@ -26,39 +22,48 @@
    */
   record Refusal(ResultCode code, String reason) {}
 
+  private static final Refusal UNKNOWN_KEY = new Refusal(ResultCode.NO_CUSTOMER, "unknown key");
+  private static final Refusal WITHDRAWN_KEY =
+      new Refusal(ResultCode.NO_CUSTOMER, "the key was withdrawn");
+  private static final Refusal MOVED_KEY =
+      new Refusal(ResultCode.ABORTED, KeyClaim.NOT_HELD + "; the transaction is rolled back");
+
   private final SessionContext context;
   private final String database;
   private final String key;
+  private final KeyFingerprint fingerprint;
 
   SessionAccess(SessionContext context, String database, String key) {
     this.context = context;
     this.database = database;
     this.key = key;
+    this.fingerprint = KeyFingerprint.of(key);
   }
 
-  /** Returns why a session is not opened, whose key would be kept; empty if it is opened. */
-  static Optional<Refusal> refusalOf(
-      SessionContext context, CallerMessage.Open open, SessionVariables variables) {
+  /** Returns why the session is not opened, whose key would be kept; empty if it is opened. */
+  Optional<Refusal> refusalToOpen(SessionVariables variables) {
     if (context.stopPhase().closesIdleSessions()) {
       return Optional.of(new Refusal(ResultCode.BUSY, StopPhase.REASON));
     }
-    Optional<Refusal> refusal = refusalOf(context.catalog(), open.database(), open.key());
-    if (refusal.isEmpty() && !variables.keepKey(open.key())) {
+    Optional<Refusal> refusal = refusal();
+    if (refusal.isEmpty() && !variables.keepKey(key)) {
       return Optional.of(new Refusal(ResultCode.BUSY, SessionVariables.reason(ResultCode.BUSY)));
     }
     return refusal;
   }
 
-  /** Returns why a key may not use a database; empty if it may. */
-  private static Optional<Refusal> refusalOf(Catalog catalog, String database, String key) {
-    Optional<Route> route = catalog.route(database);
+  /** Returns why the key may not use the database now; empty if it may. */
+  private Optional<Refusal> refusal() {
+    Optional<Route> route = route();
     if (route.isEmpty()) {
       return Optional.of(new Refusal(ResultCode.NO_DATABASE, "no such database"));
     }
-    if (!route.get().anonymousAllowed() && catalog.customer(key).isEmpty()) {
-      return Optional.of(new Refusal(ResultCode.NO_CUSTOMER, "unknown key"));
-    }
-    return Optional.empty();
+    return claim(route.get()).isEmpty() ? Optional.of(UNKNOWN_KEY) : Optional.empty();
+  }
+
+  /** Returns the claim of the customer that holds the key now; empty if none may use the route. */
+  private Optional<KeyClaim<KeyFingerprint>> claim(Route route) {
+    return KeyClaim.of(fingerprint, route.anonymousAllowed(), context.catalog());
   }
 
   /** Returns the name under which the caller knows the database. */
@@ -71,40 +76,93 @@
     return context.catalog().route(database);
   }
 
-  /** Returns whether the key may use a route that was in force when a transaction began. */
-  boolean isAuthorized(Route route) {
-    return route.anonymousAllowed() || context.catalog().customer(key).isPresent();
+  /**
+   * Returns why the next statement of a transaction is refused; empty if the customer for whom the
+   * transaction runs still holds the key. A key that moved promises that nothing is kept, so that
+   * the caller can repeat the transaction for the customer that holds it now.
+   */
+  Optional<Refusal> refusalOf(SessionTransaction transaction) {
+    return switch (transaction.claim().statusIn(context.catalog())) {
+      case HELD -> Optional.empty();
+      case MOVED -> Optional.of(MOVED_KEY);
+      case WITHDRAWN -> Optional.of(WITHDRAWN_KEY);
+    };
   }
 
-  /** Returns the customer of a request, without its allowance. */
-  static Customer customerOf(StatementRequest request) {
-    return new Customer(request.customer(), ANONYMOUS.allowance());
+  /**
+   * Applies a statement that changes the values or prepared statements of the session, unless its
+   * key was withdrawn.
+   *
+   * @param inTransaction whether a transaction is open, whose next statement tells of the key
+   * @return why it was not applied; empty if it was
+   */
+  Optional<Refusal> apply(Statement statement, SessionVariables variables, boolean inTransaction) {
+    if (statement instanceof Statement.Invalid invalid) {
+      return Optional.of(new Refusal(invalid.code(), invalid.reason()));
+    }
+    boolean adds = !(statement instanceof Statement.Deallocate);
+    if (adds && !inTransaction && route().filter(route -> claim(route).isEmpty()).isPresent()) {
+      return Optional.of(WITHDRAWN_KEY);
+    }
+    ResultCode code = variables.apply(statement);
+    return code == ResultCode.SUCCESS
+        ? Optional.empty()
+        : Optional.of(new Refusal(code, SessionVariables.reason(code)));
   }
 
   /**
    * Admits an operation if the key may use the route and the customer's allowance has a token left.
+   * If the key has moved while a token was awaited, the operation is admitted for the customer that
+   * holds the key now.
    *
    * <p>Calls exactly one of the two callbacks, possibly before this method returns.
    */
-  void admit(BiConsumer<Route, Customer> onAdmitted, Consumer<Refusal> onRefused) {
-    Optional<Refusal> refusal = refusalOf(context.catalog(), database, key);
+  void admit(BiConsumer<Route, KeyClaim<KeyFingerprint>> onAdmitted, Consumer<Refusal> onRefused) {
+    Optional<Refusal> refusal = refusal();
     if (refusal.isPresent()) {
       onRefused.accept(refusal.get());
       return;
     }
     Route route = route().orElseThrow();
-    Optional<Customer> known = context.catalog().customer(key);
-    if (known.isEmpty()) {
-      onAdmitted.accept(route, ANONYMOUS);
+    KeyClaim<KeyFingerprint> claim = claim(route).orElseThrow();
+    Optional<Customer> customer = context.catalog().customer(fingerprint);
+    if (customer.isEmpty()) {
+      onAdmitted.accept(route, claim);
       return;
     }
-    Customer customer = known.get();
     context
         .allowances()
         .admit(
-            customer,
-            () -> onAdmitted.accept(route, customer),
-            reason -> onRefused.accept(allowanceRefusal(customer, reason)));
+            customer.get(),
+            () -> onToken(route, claim, onAdmitted, onRefused),
+            reason -> onNoToken(customer.get(), claim, reason, onAdmitted, onRefused));
+  }
+
+  private void onToken(
+      Route route,
+      KeyClaim<KeyFingerprint> claim,
+      BiConsumer<Route, KeyClaim<KeyFingerprint>> onAdmitted,
+      Consumer<Refusal> onRefused) {
+    boolean isRouteInForce = route().filter(route::equals).isPresent();
+    if (isRouteInForce && claim.isHeldIn(context.catalog())) {
+      onAdmitted.accept(route, claim.confirmedBy(context.catalog()));
+    } else {
+      context.allowances().returnToken(claim.customer());
+      admit(onAdmitted, onRefused);
+    }
+  }
+
+  private void onNoToken(
+      Customer customer,
+      KeyClaim<KeyFingerprint> claim,
+      SessionAllowances.Refusal reason,
+      BiConsumer<Route, KeyClaim<KeyFingerprint>> onAdmitted,
+      Consumer<Refusal> onRefused) {
+    if (claim.isHeldIn(context.catalog())) {
+      onRefused.accept(allowanceRefusal(customer, reason));
+    } else {
+      admit(onAdmitted, onRefused);
+    }
   }
 
   private static Refusal allowanceRefusal(Customer customer, SessionAllowances.Refusal reason) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAllowances.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.toucanmast.core.access.KeyClaim;
 import org.toucanmast.core.allowance.HeldAllowance;
 import org.toucanmast.core.allowance.TokenRequestBatcher;
 import org.toucanmast.core.allowance.TokenRequestTimeout;
@@ -314,13 +315,19 @@
     refused.forEach(item -> item.onRefused().accept(Refusal.USED_UP));
   }
 
-  /** Returns the token of an operation that had no effect. */
-  void returnToken(Customer customer) {
-    String holder = holders[partition(customer.name())];
+  /**
+   * Returns the token of an operation that had no effect to the customer from whose allowance it
+   * was taken, whoever holds the operation's key now; anonymous callers use none.
+   */
+  void returnToken(String customer) {
+    if (customer.equals(KeyClaim.ANONYMOUS)) {
+      return;
+    }
+    String holder = holders[partition(customer)];
     if (holder.equals(vm)) {
-      takeBack(customer.name(), 1);
+      takeBack(customer, 1);
     } else {
-      scheduleReturn(holder, customer.name(), 1);
+      scheduleReturn(holder, customer, 1);
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionTransaction.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionTransaction.java
@@ -3,7 +3,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.toucanmast.core.catalog.Customer;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Route;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.scheduling.OperationObjective;
@@ -16,7 +17,7 @@
  * The transaction of a session.
  *
  * @param route the route in force when the transaction began; later changes do not apply to it
- * @param customer the customer that the transaction runs for
+ * @param claim the customer that the transaction runs for, and the key by which it does
  * @param readOnly whether the transaction only reads
  * @param location the location of the gateway at which the transaction is open
  * @param handle the gateway's handle, or {@link StatementRequest#NO_TRANSACTION} before the first
@@ -26,17 +27,17 @@
  */
 record SessionTransaction(
     Route route,
-    Customer customer,
+    KeyClaim<KeyFingerprint> claim,
     boolean readOnly,
     StatementSender.GatewayLocation location,
     long handle,
     OperationObjective objective,
     boolean hasFailed) {
 
-  SessionTransaction(Route route, Customer customer, boolean readOnly) {
+  SessionTransaction(Route route, KeyClaim<KeyFingerprint> claim, boolean readOnly) {
     this(
         route,
-        customer,
+        claim,
         readOnly,
         new StatementSender.GatewayLocation(Optional.empty()),
         StatementRequest.NO_TRANSACTION,
@@ -53,20 +54,25 @@
   }
 
   SessionTransaction openAt(StatementSender.GatewayLocation newLocation, long newHandle) {
-    return new SessionTransaction(
-        route, customer, readOnly, newLocation, newHandle, objective, false);
+    return new SessionTransaction(route, claim, readOnly, newLocation, newHandle, objective, false);
   }
 
   SessionTransaction failed() {
     return new SessionTransaction(
-        route, customer, readOnly, location, StatementRequest.NO_TRANSACTION, objective, true);
+        route, claim, readOnly, location, StatementRequest.NO_TRANSACTION, objective, true);
+  }
+
+  /** Returns this transaction with its claim as of another configuration. */
+  SessionTransaction withClaim(KeyClaim<KeyFingerprint> newClaim) {
+    return new SessionTransaction(
+        route, newClaim, readOnly, location, handle, objective, hasFailed);
   }
 
   /** Returns this transaction after one of its statements took the given time. */
   SessionTransaction afterStatement(long milliseconds) {
     return new SessionTransaction(
         route,
-        customer,
+        claim,
         readOnly,
         location,
         handle,
@@ -93,7 +99,7 @@
     return new StatementRequest(
         requestId,
         route.group(),
-        customer.name(),
+        claim,
         operation,
         text,
         shape,
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -131,7 +131,7 @@
             ports.callers(),
             clock,
             log,
-            statementSender(new VmRun(settings.name(), incarnation)),
+            statementSender(context, incarnation),
             allowances,
             new SessionMetrics(metrics));
     FleetMember self = settings.member(incarnation);
@@ -157,9 +157,11 @@
     configure(context, metrics);
   }
 
-  private StatementSender statementSender(VmRun localRun) {
+  private StatementSender statementSender(GatewayContext context, long incarnation) {
+    VmRun localRun = new VmRun(settings.name(), incarnation);
     boolean readsNearby = settings.features().contains(Feature.NEARBY_READS);
-    return new StatementSender(localRun, this, links, router, readsNearby, clock, log);
+    return new StatementSender(
+        localRun, this, links, router, readsNearby, context::isHeld, clock, log);
   }
 
   private GatewayContext gatewayContext(NetClient client, Ports ports, long incarnation) {
@@ -246,7 +248,10 @@
     sessions.setFeatures(settings.features());
     onFleetChanged();
     mirrors.start();
-    new SessionStart(vertx, clock, log, startConditions(), this::onSettled).begin();
+    StartConditions conditions =
+        new StartConditions(
+            settings, sessions, mirrors, membership, registry, gateways, router, links);
+    new SessionStart(vertx, clock, log, conditions, this::onSettled).begin();
     gateways.startSweeping();
     healthTimer.start(settings.features().contains(Feature.LOCAL_HEALTH));
     vertx.setPeriodic(
@@ -266,39 +271,6 @@
     openSessions.add(self[0]);
   }
 
-  private SessionStart.Conditions startConditions() {
-    return new SessionStart.Conditions() {
-      @Override
-      public boolean isConfigurationKnown() {
-        return sessions.catalog().isLoaded();
-      }
-
-      @Override
-      public boolean isLoaded() {
-        return mirrors.areLoaded();
-      }
-
-      @Override
-      public boolean areNeighboursKnown() {
-        boolean heardFromPeers = mirrors.hasHeardFromPeers() || reachable.size() <= 1;
-        return membership.areNeighboursKnown() && heardFromPeers;
-      }
-
-      @Override
-      public boolean arePathsOpen() {
-        return !settings.features().contains(Feature.LOCAL_HEALTH)
-            || registry.isRegistered()
-                && gateways.groups().stream().allMatch(SessionVm.this::isPathKnown);
-      }
-    };
-  }
-
-  /** Opens the link to the gateway of a group; returns whether it is known to answer or not. */
-  private boolean isPathKnown(String group) {
-    String gateway = router.rank(group).get(0);
-    return gateway.equals(settings.name()) || links.prepare(gateway);
-  }
-
   private void onSettled() {
     sessions.setInitialized();
     List.copyOf(openSessions).forEach(CallerSession::handlePending);
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StatementSender.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.gateway.NearbyBackoff;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.statement.Operation;
@@ -36,12 +39,14 @@
   private final GatewayRouter router;
   private final boolean readsNearby;
   private final Map<String, NearbyBackoff> backoffsByGroup = new HashMap<>();
+  private final Predicate<KeyClaim<KeyFingerprint>> isHeld;
   private final VmClock clock;
   private final EventLog log;
 
   /**
    * Creates a sender.
    *
+   * @param isHeld whether the customer of a statement still holds the key
    * @param localRun this run of this VM
    * @param readsNearby whether reads go to a gateway in this VM's data centre first
    */
@@ -51,6 +56,7 @@
       FleetLinks links,
       GatewayRouter router,
       boolean readsNearby,
+      Predicate<KeyClaim<KeyFingerprint>> isHeld,
       VmClock clock,
       EventLog log) {
     this.localRun = localRun;
@@ -58,6 +64,7 @@
     this.links = links;
     this.router = router;
     this.readsNearby = readsNearby;
+    this.isHeld = isHeld;
     this.clock = clock;
     this.log = log;
   }
@@ -132,6 +139,10 @@
           StatementResult.failure(ResultCode.BUSY, "no gateway answered"), localGateway());
       return;
     }
+    if (!isHeld.test(request.claim())) {
+      consumer.accept(StatementResult.failure(ResultCode.BUSY, KeyClaim.NOT_HELD), localGateway());
+      return;
+    }
     GatewayLocation location = chooseGateway(request.group());
     sendTo(
         location,
@@ -206,6 +217,11 @@
                 location));
   }
 
+  /** Rolls back a transaction of a statement's session that is open at a gateway. */
+  void rollBack(GatewayLocation location, StatementRequest request, long transaction) {
+    sendInTransaction(location, request.rollbackOf(transaction), (result, at) -> {});
+  }
+
   private void sendTo(
       GatewayLocation location,
       StatementRequest request,
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/OpenTransaction.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/OpenTransaction.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.transaction;
 
+import org.toucanmast.core.request.Refusal;
+import org.toucanmast.core.request.RefusedException;
 import org.toucanmast.core.routing.Destination;
 import org.toucanmast.runtime.endpoint.EndpointConnection;
 import org.toucanmast.runtime.group.DatabaseGroup;
@@ -34,8 +36,20 @@
     return handle;
   }
 
-  Principal principal() {
-    return principal;
+  /** Returns whether a caller may know of the transaction: by its customer or by its key. */
+  boolean isKnownTo(Principal caller) {
+    return principal.name().equals(caller.name()) || principal.keyHash().equals(caller.keyHash());
+  }
+
+  /**
+   * Checks that the transaction runs for the customer of a caller.
+   *
+   * @throws RefusedException if the caller's key has moved to another customer since it began
+   */
+  void checkHolder(Principal caller) throws RefusedException {
+    if (!principal.name().equals(caller.name())) {
+      throw new RefusedException(Refusal.KEY_MOVED);
+    }
   }
 
   DatabaseGroup group() {
--- a/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionManager.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/transaction/TransactionManager.java
@@ -41,6 +41,9 @@
 public final class TransactionManager {
   private static final Logger log = System.getLogger(TransactionManager.class.getName());
 
+  private static final String KEY_MOVED =
+      Refusal.KEY_MOVED.message() + ", and the transaction was rolled back";
+
   private static final String ROLLED_BACK_BY_STOP =
       "the VM of the transaction is stopping and rolled it back";
 
@@ -185,19 +188,18 @@
       TransactionRequest step, AccessControl accessControl, Instant now) {
     CallerRequest request = step.request();
     OpenTransaction transaction = openTransactions.get(step.handle().id());
-    boolean known =
-        transaction != null && transaction.principal().name().equals(request.principal().name());
-    if (!known) {
+    if (transaction == null || !transaction.isKnownTo(request.principal())) {
       return fail(new RefusedException(Refusal.NOT_FOUND), request.token());
     }
     if (transaction.isStepRunning()) {
       return fail(new RefusedException(Refusal.TRANSACTION_BUSY), request.token());
     }
     try {
+      transaction.checkHolder(request.principal());
       accessControl.check(request.principal(), transaction.group().database().name(), now);
     } catch (RefusedException e) {
       rollBack(transaction);
-      return fail(e, request.token());
+      return fail(ofStep(e), request.token());
     }
     Optional<Refusal> refusal = stepOf(step).refusalIn(processor.stopPhase());
     if (refusal.isPresent()) {
@@ -208,6 +210,13 @@
     return run(transaction, step).onComplete(done -> transaction.finishStep(processor.now()));
   }
 
+  /** Returns the refusal of a step whose transaction is rolled back, since its key has moved. */
+  private static RefusedException ofStep(RefusedException refused) {
+    return refused.refusal() == Refusal.KEY_MOVED
+        ? new RefusedException(Refusal.ROLLED_BACK, KEY_MOVED)
+        : refused;
+  }
+
   private static RequestStep stepOf(TransactionRequest step) {
     return switch (step.step()) {
       case COMMIT -> RequestStep.COMMIT;
@@ -220,13 +229,28 @@
     CallerRequest request = step.request();
     Future<Void> admitted =
         step.step() == TransactionStep.CONTINUE
-            ? processor.admit(withDatabase(request, transaction)).mapEmpty()
+            ? admit(transaction, withDatabase(request, transaction))
             : Future.succeededFuture();
     return admitted
         .compose(nothing -> call(transaction, step))
         .recover(cause -> fail(cause, request.token()));
   }
 
+  private Future<Void> admit(OpenTransaction transaction, CallerRequest request) {
+    return processor
+        .admit(request)
+        .<Void>mapEmpty()
+        .recover(
+            cause -> {
+              if (cause instanceof RefusedException refused
+                  && refused.refusal() == Refusal.KEY_MOVED) {
+                rollBack(transaction);
+                return Future.failedFuture(ofStep(refused));
+              }
+              return Future.failedFuture(cause);
+            });
+  }
+
   private static CallerRequest withDatabase(CallerRequest request, OpenTransaction transaction) {
     return new CallerRequest(
         request.id(),
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.link.ConnectBackoff;
 import org.toucanmast.core.link.LinkUse;
@@ -47,7 +49,7 @@
       new StatementRequest(
           "request",
           "group",
-          "customer",
+          new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
           Operation.WRITE,
           "WRITE x y",
           Optional.empty(),
@@ -318,7 +320,7 @@
     return new StatementRequest(
         "request",
         "group",
-        "customer",
+        new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
         Operation.TRANSACTION_WRITE,
         text,
         Optional.empty(),
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
@@ -13,6 +13,8 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Access;
 import org.toucanmast.core.statement.Operation;
@@ -85,7 +87,7 @@
         new StatementRequest(
             "id",
             "group",
-            "customer",
+            new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
             Operation.TRANSACTION_WRITE,
             "item data",
             Optional.of(new PreparedShape(Access.WRITE, "q")),
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameWriterTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameWriterTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
@@ -34,7 +36,7 @@
     return new StatementRequest(
         "request",
         "group",
-        "customer",
+        new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
         operation,
         "text",
         Optional.empty(),
--- a/runtime/src/test/java/org/toucanmast/runtime/gateway/SilentPrimary.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/gateway/SilentPrimary.java
@@ -11,6 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.catalog.EndpointEntry;
 import org.toucanmast.core.catalog.GroupLimits;
@@ -98,7 +100,7 @@
         new StatementRequest(
             id,
             "group",
-            "customer",
+            new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
             operation,
             operation + " x y",
             Optional.empty(),
