Keep one entry of an object in the log of changes, and no states

Cause: the log of changes kept the last 512 changes of each kind with the whole parsed object: class histograms of the three VMs after 20 s show 114,000 LinkedHashMaps, 80 whole configurations of 1,400 routes, in 153 to 162 MB of a heap of 160 MB. The limit counted objects whose size the writer decides. Deleted objects were remembered by the same kind of limit.

Change: the log keeps one entry for each name, the revision of its last change, and takes the state from the mirror when a peer asks; a peer that lacks 25 versions of an object gets one. A deletion is passed on without what was deleted. A change that is older than what is known no longer replaces the entry of a newer one.

--- a/core/src/main/java/org/toucanmast/core/mirror/MirroredObject.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirroredObject.java
@@ -8,6 +8,9 @@
   /** Returns the store's revision of the object's last change. */
   long revision();
 
+  /** Returns about how many bytes of the heap the object takes. */
+  long heapBytes();
+
   /** Returns whether another object has the same content. */
   boolean hasContentOf(MirroredObject other);
 }
--- a/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
+++ b/core/src/main/java/org/toucanmast/core/mirror/MirroredObjects.java
@@ -3,10 +3,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
@@ -25,8 +25,8 @@
  * @param <T> an object of the store
  */
 public final class MirroredObjects<T extends MirroredObject> {
-  /** Number of deleted objects that are remembered in case that a copy contains them. */
-  private static final int DELETED_CAPACITY = 512;
+  /** Limit of the deleted objects that are remembered in case that a copy contains them. */
+  private static final long MAXIMUM_DELETED_BYTES = 1024 * 1024;
 
   /** Receives what this VM takes the objects to be. */
   public interface Listener<T> {
@@ -47,22 +47,24 @@
 
   private record Known<T>(T object, long changedSince) {}
 
+  /**
+   * The last change of an object.
+   *
+   * @param name the name of the object
+   * @param revision the revision of the object, or of its deletion
+   * @param object the object; empty if it was deleted
+   */
+  public record Change<T>(String name, long revision, Optional<T> object) {}
+
   private final Function<T, Optional<ContentVersion>> contentVersion;
   private final Listener<T> listener;
-  private final Map<String, T> stored = new HashMap<>();
-  private final Map<String, T> retained = new HashMap<>();
+  private final SizedObjects<T> stored = SizedObjects.unlimited();
+  private final SizedObjects<T> retained = SizedObjects.unlimited();
   private final Map<String, Known<T>> known = new HashMap<>();
-  private final Map<String, T> deletedBeforeRestore = new HashMap<>();
-  private final Map<String, T> deleted =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-          return size() > DELETED_CAPACITY;
-        }
-      };
-  private final ChangeLog<T> changeLog = new ChangeLog<>();
+  private final SizedObjects<T> deletedBeforeRestore =
+      SizedObjects.limitedTo(MAXIMUM_DELETED_BYTES);
+  private final SizedObjects<T> deleted = SizedObjects.limitedTo(MAXIMUM_DELETED_BYTES);
+  private final ChangeLog changeLog = new ChangeLog();
   private StorePosition completeTo = StorePosition.NONE;
   private long lastChange = StorePosition.NONE.revision();
   private boolean retaining;
@@ -108,12 +110,12 @@
 
   /** Returns the objects as the store has them. */
   public Collection<T> storedObjects() {
-    return List.copyOf(stored.values());
+    return stored.all();
   }
 
   /** Returns the objects that the store lacks or has in an older state. */
   public Collection<T> retainedObjects() {
-    return List.copyOf(retained.values());
+    return retained.all();
   }
 
   /** Returns whether the store's state does not count yet where it is older. */
@@ -128,11 +130,41 @@
     return times;
   }
 
-  /** Returns the changes after a position; empty if some of them are not kept. */
-  public Optional<List<ChangeLog.Change<T>>> changesSince(StorePosition position) {
-    return position.era() == completeTo.era()
-        ? changeLog.since(position.revision())
-        : Optional.empty();
+  /**
+   * Returns the last change of each object that was changed after a position; empty if some of them
+   * are not known any more.
+   */
+  public Optional<List<Change<T>>> changesSince(StorePosition position) {
+    if (position.era() != completeTo.era()) {
+      return Optional.empty();
+    }
+    return changeLog
+        .since(position.revision())
+        .map(entries -> entries.stream().flatMap(entry -> change(entry).stream()).toList());
+  }
+
+  private Optional<Change<T>> change(ChangeLog.Entry entry) {
+    if (entry.deletedAt().isPresent()) {
+      return Optional.of(
+          new Change<>(entry.name(), entry.deletedAt().getAsLong(), Optional.empty()));
+    }
+    return Optional.ofNullable(stored.get(entry.name()))
+        .map(object -> new Change<>(entry.name(), object.revision(), Optional.of(object)));
+  }
+
+  /** Returns about how many bytes the objects take that the store has, or that are retained. */
+  public long objectBytes() {
+    return stored.bytes() + retained.bytes();
+  }
+
+  /** Returns about how many bytes the deleted objects take that are remembered. */
+  public long deletedBytes() {
+    return deleted.bytes() + deletedBeforeRestore.bytes();
+  }
+
+  /** Returns about how many bytes the log of changes takes. */
+  public long logBytes() {
+    return changeLog.lengthInBytes();
   }
 
   /**
@@ -144,7 +176,7 @@
    */
   public void replaceAll(
       Collection<T> objects, StorePosition position, ToLongFunction<String> changeTime) {
-    Set<String> removed = new HashSet<>(stored.keySet());
+    Set<String> removed = new HashSet<>(stored.names());
     for (T object : objects) {
       removed.remove(object.name());
       put(object, changeTime);
@@ -170,8 +202,8 @@
       Collection<T> objects, StorePosition position, ToLongFunction<String> changeTime) {
     Set<String> names = new HashSet<>(known.keySet());
     retained.clear();
-    known.forEach((name, entry) -> retained.put(name, entry.object()));
-    deletedBeforeRestore.putAll(deleted);
+    known.values().forEach(entry -> retained.put(entry.object()));
+    deleted.all().forEach(deletedBeforeRestore::put);
     deleted.clear();
     stored.clear();
     changeLog.restart(position.revision());
@@ -180,11 +212,11 @@
     retaining = true;
     for (T object : objects) {
       names.add(object.name());
-      stored.put(object.name(), object);
+      stored.put(object);
       advanceLastChange(object.revision());
     }
     names.forEach(name -> report(name, changeTime));
-    List.copyOf(retained.keySet()).forEach(listener::onObjectOutdatedInStore);
+    retained.names().forEach(listener::onObjectOutdatedInStore);
   }
 
   /**
@@ -199,7 +231,7 @@
     for (T object : objects) {
       T current = retained.get(object.name());
       if (current == null || isNewerContent(object, current)) {
-        retained.put(object.name(), object);
+        retained.put(object);
         report(object.name(), changeTime);
       }
     }
@@ -213,8 +245,8 @@
   /** Lets the store's state count, also where it is older or lacks an object. */
   public void endRetention() {
     retaining = false;
-    Set<String> names = new HashSet<>(retained.keySet());
-    names.addAll(deletedBeforeRestore.keySet());
+    Set<String> names = new HashSet<>(retained.names());
+    names.addAll(deletedBeforeRestore.names());
     retained.clear();
     deletedBeforeRestore.clear();
     Map<String, Long> times = changeTimes();
@@ -231,16 +263,23 @@
   public void apply(
       T object, boolean isDeleted, StorePosition position, ToLongFunction<String> changeTime) {
     T current = stored.get(object.name());
+    boolean isNews;
     if (isDeleted) {
       boolean namesDeletion = current == null || object.revision() > current.revision();
       advanceLastChange(namesDeletion ? object.revision() : position.revision());
-      if (current != null && current.revision() <= object.revision()) {
+      isNews = current == null || current.revision() <= object.revision();
+      if (current != null && isNews) {
         remove(object.name());
       }
-    } else if (object.revision() > completeTo.revision() || current != null) {
-      put(object, changeTime);
+    } else {
+      boolean isKnownOrNew = object.revision() > completeTo.revision() || current != null;
+      isNews = isKnownOrNew && put(object, changeTime);
+    }
+    if (isNews) {
+      OptionalLong deletedAt =
+          isDeleted ? OptionalLong.of(object.revision()) : OptionalLong.empty();
+      changeLog.add(new ChangeLog.Entry(position.revision(), object.name(), deletedAt));
     }
-    changeLog.add(position.revision(), object, isDeleted);
   }
 
   /** Records that all changes up to a position of the present era have been applied. */
@@ -250,24 +289,27 @@
     }
   }
 
-  private void put(T object, ToLongFunction<String> changeTime) {
+  /** Takes over an object unless a newer state of it is known; returns whether it did. */
+  private boolean put(T object, ToLongFunction<String> changeTime) {
     T current = stored.get(object.name());
-    if (current == null || current.revision() < object.revision()) {
-      stored.put(object.name(), object);
-      deleted.remove(object.name());
-      advanceLastChange(object.revision());
-      report(object.name(), changeTime);
+    if (current != null && current.revision() >= object.revision()) {
+      return false;
     }
+    stored.put(object);
+    deleted.remove(object.name());
+    advanceLastChange(object.revision());
+    report(object.name(), changeTime);
+    return true;
   }
 
   /** Removes an object; while objects are retained, it is kept as one that the store lacks. */
   private void remove(String name) {
     T removed = stored.remove(name);
     if (retaining && known.containsKey(name)) {
-      retained.putIfAbsent(name, known.get(name).object());
+      retained.putIfAbsent(known.get(name).object());
       listener.onObjectOutdatedInStore(name);
     } else if (!retaining) {
-      deleted.put(name, removed);
+      deleted.put(removed);
     }
     report(name, ignored -> 0);
   }
--- a/core/src/test/java/org/toucanmast/core/mirror/MirroredObjectsTest.java
+++ b/core/src/test/java/org/toucanmast/core/mirror/MirroredObjectsTest.java
@@ -14,6 +14,11 @@
 
   /** An object whose version is the number in its content, if it is positive. */
   private record Item(String name, long revision, int content) implements MirroredObject {
+    @Override
+    public long heapBytes() {
+      return 100;
+    }
+
     @Override
     public boolean hasContentOf(MirroredObject other) {
       return other instanceof Item item && item.content == content;
--- a/core/src/test/java/org/toucanmast/core/mirror/RestoredMirrorsPropertyTest.java
+++ b/core/src/test/java/org/toucanmast/core/mirror/RestoredMirrorsPropertyTest.java
@@ -21,6 +21,11 @@
   private static final int NAMES = 3;
 
   private record Item(String name, long revision, long version) implements MirroredObject {
+    @Override
+    public long heapBytes() {
+      return 100;
+    }
+
     @Override
     public boolean hasContentOf(MirroredObject other) {
       return other instanceof Item item && item.version == version;
--- a/runtime/src/main/java/org/toucanmast/runtime/port/StoredObject.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/StoredObject.java
@@ -12,9 +12,21 @@
  * @param position the era in which the object was read and the store's revision of its last change
  * @param content the content; null if it cannot be read or is not a JSON object
  * @param problem why there is no content; empty if there is some
+ * @param heapBytes about how many bytes of the heap the object takes
  */
-public record StoredObject(String name, StorePosition position, JsonObject content, String problem)
+public record StoredObject(
+    String name, StorePosition position, JsonObject content, String problem, long heapBytes)
     implements MirroredObject {
+  /** Creates an object and estimates its size. */
+  public StoredObject(String name, StorePosition position, JsonObject content, String problem) {
+    this(
+        name,
+        position,
+        content,
+        problem,
+        JsonSize.ofText(name) + JsonSize.ofText(problem) + JsonSize.of(content));
+  }
+
   /** Creates an object whose content was read, or was found to be no JSON object. */
   public StoredObject(String name, StorePosition position, JsonObject content) {
     this(name, position, content, content == null ? "content: expected a JSON object" : "");
--- a/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/StoreMirrors.java
@@ -201,7 +201,8 @@
 
   /**
    * Registers a gauge of the age of each kind, in milliseconds, which is -1 while it is unknown, a
-   * gauge of the objects retained from earlier eras, and one of the store's era.
+   * gauge of the objects retained from earlier eras, gauges of the bytes that the mirror holds, and
+   * one of the store's era.
    */
   void registerMetrics(MetricRegistry metrics) {
     Gauge<Long> eraNumber = era::number;
@@ -211,6 +212,13 @@
       metrics.registerGauge("mirror.age." + kind, age);
       Gauge<Integer> retained = () -> kinds.get(kind).mirror().retainedObjects().size();
       metrics.registerGauge("mirror.retained." + kind, retained);
+      KindMirror mirror = kinds.get(kind).mirror();
+      Gauge<Long> objectBytes = mirror::objectBytes;
+      metrics.registerGauge("mirror.object-bytes." + kind, objectBytes);
+      Gauge<Long> deletedBytes = mirror::deletedBytes;
+      metrics.registerGauge("mirror.deleted-bytes." + kind, deletedBytes);
+      Gauge<Long> logBytes = mirror::logBytes;
+      metrics.registerGauge("mirror.log-bytes." + kind, logBytes);
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/KindMirror.java
@@ -31,6 +31,9 @@
  * over all objects of the new era, and for a while retains what it knows to be newer.
  */
 public final class KindMirror {
+  /** Why an object that was deleted has no content. */
+  private static final String DELETED = "the object was deleted";
+
   /** How long ago the changes in the first listing are assumed to have been made. */
   private static final long AGE_OF_FIRST_LISTING_IN_MILLISECONDS = 1_500;
 
@@ -276,10 +279,7 @@
             .changesSince(completeTo)
             .filter(found -> completeTo.revision() > 0)
             .map(
-                found ->
-                    found.stream()
-                        .map(change -> new ObjectStore.Change(change.object(), change.deleted()))
-                        .toList());
+                found -> found.stream().map(change -> toChange(change, completeTo.era())).toList());
     return new Update(
         changes.map(found -> completeTo.revision()),
         changes.orElseGet(this::storedObjects),
@@ -290,6 +290,19 @@
         Math.max(0, retentionEndsAt - environment.clock().now()));
   }
 
+  /** A deletion is passed on without what was deleted. */
+  private static ObjectStore.Change toChange(
+      MirroredObjects.Change<StoredObject> change, long era) {
+    StoredObject object =
+        change
+            .object()
+            .orElseGet(
+                () ->
+                    new StoredObject(
+                        change.name(), new StorePosition(era, change.revision()), null, DELETED));
+    return new ObjectStore.Change(object, change.object().isEmpty());
+  }
+
   private List<ObjectStore.Change> storedObjects() {
     return objects.storedObjects().stream()
         .map(object -> new ObjectStore.Change(object, false))
@@ -374,6 +387,21 @@
     return objects.retainedObjects();
   }
 
+  /** Returns about how many bytes the objects take that the store has, or that are retained. */
+  public long objectBytes() {
+    return objects.objectBytes();
+  }
+
+  /** Returns about how many bytes the deleted objects take that are remembered. */
+  public long deletedBytes() {
+    return objects.deletedBytes();
+  }
+
+  /** Returns about how many bytes the log of changes takes that peers may lack. */
+  public long logBytes() {
+    return objects.logBytes();
+  }
+
   /** Returns all mirrored objects. */
   public Collection<StoredObject> objects() {
     return objects.objects();
