--- a/runtime/src/main/java/org/toucanmast/runtime/port/StoreException.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/port/StoreException.java
@@ -12,6 +12,8 @@
     CONFLICT,
     /** The store no longer keeps the changes since the given revision. */
     HISTORY_GONE,
+    /** The answer is longer than this VM reads. */
+    TOO_LONG,
     /** The store refused the call and changed nothing. */
     REFUSED,
     /** No complete answer was received; the call may have been executed, or still be. */
--- a/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
@@ -316,13 +316,14 @@
   }
 
   /**
-   * Lists the objects if the store no longer keeps the changes; after a pause if the position of
-   * the last listing was refused as well.
+   * Lists the objects if the store no longer keeps the changes, or they are too long together;
+   * after a pause if the position of the last listing was refused as well.
    */
   private void onWatchFailed(Throwable error, StorePosition from) {
-    boolean isHistoryGone =
-        error instanceof StoreException failure && failure.reason() == Reason.HISTORY_GONE;
-    if (!isHistoryGone) {
+    boolean mustList =
+        error instanceof StoreException failure
+            && (failure.reason() == Reason.HISTORY_GONE || failure.reason() == Reason.TOO_LONG);
+    if (!mustList) {
       retry(error, this::watch);
       return;
     }
@@ -334,9 +335,11 @@
     refusedHistories++;
     log.log(
         EventKind.DEPENDENCY,
-        "store no longer keeps the history",
+        "changes not to be had from the store",
         "objects",
         kind.name(),
+        "reason",
+        error.getMessage(),
         "era",
         answers.completeTo().era(),
         "revision",
--- a/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/store/KindMirrorTest.java
@@ -138,6 +138,21 @@
     assertThat(notifications).containsExactly("+a", "+b", "-a");
   }
 
+  /**
+   * Guards against a watch that is repeated for ever although its answer is too long to be read.
+   */
+  @Test
+  void should_list_again_when_the_changes_are_too_long_together() {
+    StoredObject first = store.put("kind", "a", new JsonObject());
+    mirror.start();
+    store.delete("kind", "a", first.position());
+    store.put("kind", "b", new JsonObject());
+    store.lastWatch().fail(new StoreException(Reason.TOO_LONG, "60 versions"));
+
+    assertThat(notifications).containsExactly("+a", "+b", "-a");
+    assertThat(store.watchCalls()).isEqualTo(2);
+  }
+
   @Test
   void should_resume_watching_after_a_failed_watch() {
     mirror.start();
