Bound in bytes what else others decide the size of

Cause: bounds that count objects whose size or number others decide, or no bounds at all. - A gateway was kept for each group that any entry of an endpoint had ever named: a trial with 2,000 short-lived entries of 6 kB left 16.0 MB in use at a VM after a collection. - Metrics of customers and databases stayed after the configuration had dropped them (both interfaces). - A peer that reads slowly was sent one mirror after the other, and long results; what waited for it had no bound. - The queue of log lines counted 2,048 lines, of which callers decide the length: some 12 kB each. - Departed endpoints of a group at rest were remembered without a bound.

Change: groups that neither the store nor the configuration names are forgotten every 5 s; metrics of what is gone are removed; an eighth of the heap may wait on links, half of it on one, beyond which a mirror is not passed on (the peer asks again) and a long result is replaced by a failure as one that is too long for links; 1 Mi characters of log lines may wait; 256 departures are kept one by one and older ones as one that covers them all, so that promotions wait no less. Gauges: links.output-bytes, log.queued-characters, gateway.groups.

--- a/core/src/main/java/org/toucanmast/core/failover/DepartedEndpoints.java
+++ b/core/src/main/java/org/toucanmast/core/failover/DepartedEndpoints.java
@@ -1,6 +1,7 @@
 package org.toucanmast.core.failover;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.toucanmast.core.catalog.EndpointEntry;
@@ -21,6 +22,9 @@
    */
   private static final long UNPLANNED_RETENTION_IN_MILLISECONDS = 30_000;
 
+  /** Departures that are kept one by one; older ones are kept as one that covers them all. */
+  private static final int MAXIMUM_DEPARTURES = 256;
+
   /**
    * A departure.
    *
@@ -32,6 +36,19 @@
     private boolean isCoveredBy(Position position, long now) {
       return now >= receivesUntil && held.isPresent() && position.compareTo(held.get()) >= 0;
     }
+
+    /** Returns a departure that is covered only when this one and another one are. */
+    private Departure and(Departure other) {
+      Optional<Position> both =
+          held.isPresent() && other.held.isPresent()
+              ? Optional.of(held.get().maximum(other.held.get()))
+              : Optional.empty();
+      return new Departure(both, Math.max(receivesUntil, other.receivesUntil));
+    }
+
+    private Departure heldUpTo(Position acknowledged) {
+      return held.isPresent() ? this : new Departure(Optional.of(acknowledged), receivesUntil);
+    }
   }
 
   /** A process of an endpoint: an endpoint that started again holds nothing of before. */
@@ -42,7 +59,9 @@
   }
 
   private final Map<String, EndpointEntry> present = new HashMap<>();
-  private final Map<Run, Departure> departures = new HashMap<>();
+  private final Map<Run, Departure> departures = new LinkedHashMap<>();
+  private Optional<Departure> olderDepartures = Optional.empty();
+  private int olderCount;
 
   /**
    * Records the entry of a member.
@@ -53,7 +72,7 @@
   public void onEntry(EndpointEntry entry, Optional<Position> acknowledged, long now) {
     EndpointEntry previous = present.put(entry.id(), entry);
     if (previous != null && !previous.isSameRun(entry)) {
-      departures.put(Run.of(previous), new Departure(acknowledged, now));
+      add(Run.of(previous), new Departure(acknowledged, now));
     }
     departures.remove(Run.of(entry));
   }
@@ -63,7 +82,16 @@
     EndpointEntry previous = present.remove(endpointId);
     if (previous != null) {
       long receivesUntil = previous.draining() ? now : now + UNPLANNED_RETENTION_IN_MILLISECONDS;
-      departures.put(Run.of(previous), new Departure(acknowledged, receivesUntil));
+      add(Run.of(previous), new Departure(acknowledged, receivesUntil));
+    }
+  }
+
+  private void add(Run run, Departure departure) {
+    departures.put(run, departure);
+    if (departures.size() > MAXIMUM_DEPARTURES) {
+      Departure eldest = departures.remove(departures.keySet().iterator().next());
+      olderDepartures = Optional.of(olderDepartures.map(eldest::and).orElse(eldest));
+      olderCount++;
     }
   }
 
@@ -72,20 +100,24 @@
    * that had departed before, when no such position was known.
    */
   public void onAcknowledged(Position acknowledged) {
-    departures.replaceAll(
-        (run, departure) ->
-            departure.held().isPresent()
-                ? departure
-                : new Departure(Optional.of(acknowledged), departure.receivesUntil()));
+    departures.replaceAll((run, departure) -> departure.heldUpTo(acknowledged));
+    olderDepartures = olderDepartures.map(departure -> departure.heldUpTo(acknowledged));
   }
 
   /** Forgets the endpoints that held no more than a replica has received. */
   public void onReceived(Position position, long now) {
     departures.values().removeIf(departure -> departure.isCoveredBy(position, now));
+    olderDepartures = olderDepartures.filter(departure -> !departure.isCoveredBy(position, now));
+    olderCount = olderDepartures.isPresent() ? olderCount : 0;
+  }
+
+  /** Returns the number of departures that are kept, older ones together as one. */
+  int kept() {
+    return departures.size() + (olderDepartures.isPresent() ? 1 : 0);
   }
 
   /** Returns the number of departed endpoints that may alone have received some commits. */
   public int count() {
-    return departures.size();
+    return departures.size() + olderCount;
   }
 }
--- a/core/src/test/java/org/toucanmast/core/failover/DepartedEndpointsTest.java
+++ b/core/src/test/java/org/toucanmast/core/failover/DepartedEndpointsTest.java
@@ -35,6 +35,39 @@
     assertThat(departed.count()).isEqualTo(1);
   }
 
+  /** Guards against a heap that is filled by endpoints that come and go in a group at rest. */
+  @Test
+  void should_keep_a_limited_number_of_departures_and_count_all_of_them() {
+    for (int number = 0; number < 1_000; number++) {
+      departed.onEntry(entry("short-lived-" + number, 1, true), Optional.empty(), NOW);
+      departed.onRemoved("short-lived-" + number, Optional.empty(), NOW);
+    }
+
+    assertThat(departed.count()).isEqualTo(1_000);
+    assertThat(departed.kept()).isEqualTo(257);
+    departed.onReceived(HELD, LONG_AFTER);
+    assertThat(departed.count()).isEqualTo(1_000);
+    departed.onAcknowledged(HELD);
+    departed.onReceived(new Position(3, 11), LONG_AFTER);
+    assertThat(departed.count()).isEqualTo(1_000);
+    departed.onReceived(HELD, LONG_AFTER);
+    assertThat(departed.count()).isZero();
+  }
+
+  @Test
+  void should_cover_all_older_departures_only_with_the_highest_position_of_them() {
+    for (int number = 0; number < 400; number++) {
+      Position held = new Position(3, number == 0 ? 50 : 1);
+      departed.onEntry(entry("short-lived-" + number, 1, true), Optional.of(held), NOW);
+      departed.onRemoved("short-lived-" + number, Optional.of(held), NOW);
+    }
+
+    departed.onReceived(new Position(3, 49), LONG_AFTER);
+    assertThat(departed.count()).isEqualTo(144);
+    departed.onReceived(new Position(3, 50), LONG_AFTER);
+    assertThat(departed.count()).isZero();
+  }
+
   @Test
   void should_not_count_an_endpoint_whose_entry_is_back() {
     depart(false, ACKNOWLEDGED);
--- a/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/events/EventLog.java
@@ -27,6 +27,9 @@
   /** Maximum number of lines that wait for the writer thread; a line has about 200 bytes. */
   private static final int QUEUE_CAPACITY = 2_048;
 
+  /** Maximum length of these lines; callers decide on that of some. */
+  private static final long MAXIMUM_QUEUED_CHARACTERS = 1024 * 1024;
+
   /** Length to which texts of callers and endpoints, such as request ids of 1 MiB, are cut. */
   private static final int MAXIMUM_VALUE_LENGTH = 4_000;
 
@@ -40,6 +43,7 @@
   private final int[] linesInSecond = new int[EventKind.values().length];
   private final int[] suppressed = new int[EventKind.values().length];
   private final AtomicLong unwritten = new AtomicLong();
+  private final AtomicLong queuedCharacters = new AtomicLong();
   private long currentSecond;
   private int dropped;
 
@@ -73,16 +77,25 @@
       suppressed[index]++;
       return;
     }
+    String line = line(now, kind, event, fields);
+    boolean fits = queuedCharacters.get() + line.length() <= MAXIMUM_QUEUED_CHARACTERS;
     unwritten.incrementAndGet();
-    if (queue.offer(line(now, kind, event, fields))) {
+    queuedCharacters.addAndGet(line.length());
+    if (fits && queue.offer(line)) {
       suppressed[index] = 0;
       dropped = 0;
     } else {
       unwritten.decrementAndGet();
+      queuedCharacters.addAndGet(-line.length());
       dropped++;
     }
   }
 
+  /** Returns the length of the lines that wait to be written, in characters. */
+  public long queuedCharacters() {
+    return queuedCharacters.get();
+  }
+
   /**
    * Waits until the lines logged so far are written, because the process is about to end.
    *
@@ -156,6 +169,7 @@
         out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
         out.flush();
         unwritten.addAndGet(-lines);
+        queuedCharacters.addAndGet(-batch.length());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLink.java
@@ -7,14 +7,13 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayList;
 import java.util.EnumSet;
-import java.util.List;
 import java.util.Set;
 import org.toucanmast.core.link.ConnectBackoff;
 import org.toucanmast.core.link.LinkLiveness;
 import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.link.LocalHealth;
+import org.toucanmast.core.link.OutputBudget;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
@@ -55,13 +54,15 @@
   private final FleetHello hello;
   private final FleetMember member;
   private final OutstandingCalls calls = new OutstandingCalls();
-  private final List<FleetFrame> unsent = new ArrayList<>();
+  private final UnsentFrames unsent;
+  private final OutputBudget budget;
   private final LocalHealth localHealth;
   private final ConnectBackoff backoff;
   private final Set<LinkUse> uses = EnumSet.noneOf(LinkUse.class);
   private LinkLiveness liveness;
   private FrameReader reader = new FrameReader();
   private NetSocket socket;
+  private LinkOutput output;
   private boolean closed;
   private boolean retired;
   private boolean leaving;
@@ -86,7 +87,10 @@
       FleetMessageHandler messageHandler,
       FleetHello hello,
       FleetMember member,
-      LocalHealth localHealth) {
+      LocalHealth localHealth,
+      OutputBudget budget) {
+    this.budget = budget;
+    this.unsent = new UnsentFrames(budget);
     this.localHealth = localHealth;
     this.backoff = new ConnectBackoff(localHealth);
     this.client = client;
@@ -104,10 +108,9 @@
 
   /** Sets for what the link is kept besides statements. */
   void setUse(LinkUse use, boolean needed) {
+    uses.remove(use);
     if (needed) {
       uses.add(use);
-    } else {
-      uses.remove(use);
     }
   }
 
@@ -170,20 +173,22 @@
     long callId = calls.add(request, handler, now);
     // At another time the peer might be suspected, and the frame would be dropped.
     FleetFrame frame = FrameWriter.call(callId, request);
-    if (FrameWriter.isSendable(frame)) {
+    if (!FrameWriter.isSendable(frame)) {
+      refuse(callId, request, StatementResult.failure(ResultCode.TOO_BIG, FrameWriter.TOO_LONG));
+    } else if (socket == null ? unsent.admits(frame) : output.admits(frame)) {
       send(frame, now);
     } else {
-      calls.remove(callId);
-      refuseTooLong(request, handler);
+      ResultCode code = continuesTransaction ? ResultCode.ABORTED : ResultCode.BUSY;
+      refuse(callId, request, StatementResult.failure(code, LinkOutput.FULL));
     }
   }
 
   /** The session takes a transaction for failed then, and does not roll it back. */
-  private void refuseTooLong(StatementRequest request, CallHandler handler) {
+  private void refuse(long callId, StatementRequest request, StatementResult result) {
     if (request.transaction() != StatementRequest.NO_TRANSACTION) {
       send(FrameWriter.rollback(request));
     }
-    handler.onResult(StatementResult.failure(ResultCode.TOO_BIG, FrameWriter.TOO_LONG));
+    calls.remove(callId).ifPresent(handler -> handler.onResult(result));
   }
 
   /** Sends a frame, as soon as the link is open. */
@@ -202,7 +207,7 @@
     if (frame.hasCall() || frame.hasTokenAsk()) {
       liveness.onRequestSent(now);
     }
-    FrameWriter.write(frame, socket, log);
+    output.write(frame);
   }
 
   /** Sends a heartbeat if the link is open. */
@@ -322,6 +327,7 @@
     connectFailureLogged = false;
     backoff.onConnected();
     socket = connected;
+    output = new LinkOutput(connected, budget, log);
     reader = new FrameReader();
     liveness = new LinkLiveness(localHealth, clock.now());
     socket.handler(bytes -> onBytes(connected, bytes));
@@ -329,9 +335,7 @@
     socket.exceptionHandler(error -> onClosed(connected));
     send(FleetFrame.newBuilder().setHello(hello).build());
     sendHeartbeat();
-    List<FleetFrame> waiting = List.copyOf(unsent);
-    unsent.clear();
-    waiting.forEach(this::send);
+    unsent.removeAll().forEach(this::send);
     updateSuspicion(clock.now());
   }
 
@@ -371,8 +375,7 @@
           messageHandler
               .usage()
               .ifPresent(usage -> usage.onUsageReceipt(member.name(), frame.getUsageReceipt()));
-      case MIRROR_PULL ->
-          send(FrameWriter.mirrorPush(messageHandler.mirrorContent(frame.getMirrorPull())));
+      case MIRROR_PULL -> output.writeMirror(messageHandler.mirrorContent(frame.getMirrorPull()));
       case MIRROR_PUSH -> messageHandler.onMirrorContent(member.name(), frame.getMirrorPush());
       default -> log.log(EventKind.PROTOCOL, "unexpected frame", "peer", member.name());
     }
@@ -409,14 +412,7 @@
 
   /** Reports the statements that wait for the connection as not sent. */
   private void failUnsent() {
-    List<CallHandler> waiting = new ArrayList<>();
-    for (FleetFrame frame : unsent) {
-      if (frame.hasCall()) {
-        calls.remove(frame.getCall().getCallId()).ifPresent(waiting::add);
-      }
-    }
-    unsent.clear();
-    waiting.forEach(CallHandler::onNotSent);
+    calls.removeAll(unsent.removeAll()).forEach(CallHandler::onNotSent);
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetLinks.java
@@ -1,5 +1,7 @@
 package org.toucanmast.runtime.fleet;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
@@ -12,6 +14,7 @@
 import java.util.Set;
 import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.link.LocalHealth;
+import org.toucanmast.core.link.OutputBudget;
 import org.toucanmast.runtime.clock.VmClock;
 import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.schema.FleetFrame;
@@ -29,6 +32,9 @@
   /** A tick that is delayed by more than this shows that this VM itself was suspended. */
   private static final long TICK_DELAY_TOLERANCE_IN_MILLISECONDS = 150;
 
+  /** The part of the heap that may wait to be sent on the links. */
+  private static final long HEAP_SHARE_OF_OUTPUT = 8;
+
   private final NetClient client;
   private final VmClock clock;
   private final EventLog log;
@@ -36,6 +42,8 @@
   private final FleetHello hello;
   private final FleetServer server;
   private final LocalHealth localHealth;
+  private final OutputBudget budget =
+      new OutputBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE_OF_OUTPUT);
   private final Map<String, FleetLink> links = new HashMap<>();
   private final List<FleetLink> retiredLinks = new ArrayList<>();
   private final Map<String, FleetMember> members = new HashMap<>();
@@ -80,7 +88,7 @@
     this.log = log;
     this.handler = handler;
     this.hello = FleetHello.newBuilder().setVm(vm).setIncarnation(incarnation).build();
-    this.server = new FleetServer(server, clock, log, handler, localHealth);
+    this.server = new FleetServer(server, clock, log, handler, localHealth, budget);
     this.lastTickAt = clock.now();
   }
 
@@ -141,7 +149,8 @@
     }
     return Optional.of(
         links.computeIfAbsent(
-            vm, any -> new FleetLink(client, clock, log, handler, hello, member, localHealth)));
+            vm,
+            any -> new FleetLink(client, clock, log, handler, hello, member, localHealth, budget)));
   }
 
   /** Sends due heartbeats and closes silent and unused links; must be called at each interval. */
@@ -227,6 +236,12 @@
     return suspected;
   }
 
+  /** Registers a gauge of what waits to be sent on the links, in bytes. */
+  public void registerMetrics(MetricRegistry metrics) {
+    Gauge<Long> output = budget::pendingBytes;
+    metrics.registerGauge("links.output-bytes", output);
+  }
+
   /** Returns the number of open links to other VMs. */
   public int openLinks() {
     return (int) links.values().stream().filter(FleetLink::isOpen).count();
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FleetServer.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.toucanmast.core.link.LocalHealth;
+import org.toucanmast.core.link.OutputBudget;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.runtime.clock.VmClock;
@@ -30,6 +31,7 @@
   private final EventLog log;
   private final FleetMessageHandler handler;
   private final LocalHealth localHealth;
+  private final OutputBudget budget;
   private final Set<IncomingLink> links = new HashSet<>();
 
   FleetServer(
@@ -37,8 +39,10 @@
       VmClock clock,
       EventLog log,
       FleetMessageHandler handler,
-      LocalHealth localHealth) {
+      LocalHealth localHealth,
+      OutputBudget budget) {
     this.localHealth = localHealth;
+    this.budget = budget;
     this.server = server;
     this.clock = clock;
     this.log = log;
@@ -95,7 +99,7 @@
 
   /** Completes when everything that was written to peers has been sent. */
   Future<Void> answersSent() {
-    return Future.join(links.stream().map(link -> link.lastWrite).toList()).mapEmpty();
+    return Future.join(links.stream().map(link -> link.output.lastWrite()).toList()).mapEmpty();
   }
 
   private Optional<IncomingLink> linkOf(String vm) {
@@ -105,12 +109,13 @@
   private final class IncomingLink {
     private final NetSocket socket;
     private final FrameReader reader = new FrameReader();
-    private Future<Void> lastWrite = Future.succeededFuture();
+    private final LinkOutput output;
     private VmRun run;
     private long lastReceivedAt = clock.now();
 
     private IncomingLink(NetSocket socket) {
       this.socket = socket;
+      this.output = new LinkOutput(socket, budget, log);
       socket.handler(this::onBytes);
       socket.closeHandler(done -> close("closed"));
       socket.exceptionHandler(error -> close("failed"));
@@ -156,8 +161,7 @@
                 .filter(receipt -> receipt.getWindowsCount() > 0)
                 .ifPresent(
                     receipt -> send(FleetFrame.newBuilder().setUsageReceipt(receipt).build()));
-        case MIRROR_PULL ->
-            send(FrameWriter.mirrorPush(handler.mirrorContent(frame.getMirrorPull())));
+        case MIRROR_PULL -> output.writeMirror(handler.mirrorContent(frame.getMirrorPull()));
         case MIRROR_PUSH -> handler.onMirrorContent(peer, frame.getMirrorPush());
         default -> close("unexpected frame");
       }
@@ -170,7 +174,7 @@
           request,
           origin,
           result -> {
-            FleetFrame answer = FrameWriter.answer(call.getCallId(), request, result);
+            FleetFrame answer = output.answer(call.getCallId(), request, result);
             send(answer);
             if (result.transaction() != answer.getAnswer().getTransaction()) {
               // The sender takes the transaction for failed, and does not roll it back.
@@ -181,7 +185,7 @@
 
     private void send(FleetFrame frame) {
       if (links.contains(this)) {
-        lastWrite = FrameWriter.write(frame, socket, log);
+        output.write(frame);
       }
     }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/FrameWriter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/FrameWriter.java
@@ -1,14 +1,10 @@
 package org.toucanmast.runtime.fleet;
 
-import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import java.util.List;
 import java.util.Optional;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
-import org.toucanmast.runtime.events.EventKind;
-import org.toucanmast.runtime.events.EventLog;
 import org.toucanmast.schema.FleetFrame;
 import org.toucanmast.schema.MirrorPush;
 import org.toucanmast.schema.UsageTotals;
@@ -44,16 +40,6 @@
             .appendBytes(body));
   }
 
-  /** Writes a frame, unless the receiver would refuse it. */
-  static Future<Void> write(FleetFrame frame, NetSocket socket, EventLog log) {
-    Optional<Buffer> encoded = encode(frame);
-    if (encoded.isEmpty()) {
-      log.log(EventKind.PROTOCOL, "frame too long", "body", frame.getBodyCase());
-      return Future.succeededFuture();
-    }
-    return socket.write(encoded.get());
-  }
-
   /** Returns the frame that sends a statement. */
   static FleetFrame call(long callId, StatementRequest request) {
     return FleetFrame.newBuilder().setCall(StatementMessages.toCall(callId, request)).build();
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/OutstandingCalls.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/OutstandingCalls.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.StatementRequest;
+import org.toucanmast.schema.FleetFrame;
 
 /** The statements that were sent over a link, or wait for its connection, and have no answer. */
 final class OutstandingCalls {
@@ -40,6 +41,14 @@
     return Optional.ofNullable(calls.remove(callId)).map(Call::handler);
   }
 
+  /** Removes the calls of frames that were not sent, and returns their handlers. */
+  List<FleetLink.CallHandler> removeAll(List<FleetFrame> unsent) {
+    return unsent.stream()
+        .filter(FleetFrame::hasCall)
+        .flatMap(frame -> remove(frame.getCall().getCallId()).stream())
+        .toList();
+  }
+
   boolean isEmpty() {
     return calls.isEmpty();
   }
--- a/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/gateway/GatewayContext.java
@@ -146,6 +146,18 @@
     return claim.isHeldIn(catalog);
   }
 
+  /** Returns the groups that the configuration names. */
+  public Set<String> configuredGroups() {
+    Set<String> groups = new TreeSet<>(catalog.groups().keySet());
+    catalog.routesByDatabase().values().forEach(route -> groups.add(route.group()));
+    return groups;
+  }
+
+  /** Forgets what is learned of all groups but the given ones. */
+  public void retainGroups(Set<String> groups) {
+    endpointLimits.keySet().retainAll(groups);
+  }
+
   /** Returns whether a customer holds a key, or the name stands for anonymous callers. */
   boolean holdsKey(String customer) {
     return customers.contains(customer);
--- a/runtime/src/main/java/org/toucanmast/runtime/metrics/RequestMetrics.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/metrics/RequestMetrics.java
@@ -12,11 +12,14 @@
 import io.prometheus.metrics.model.snapshots.Quantiles;
 import io.prometheus.metrics.model.snapshots.SummarySnapshot;
 import io.prometheus.metrics.model.snapshots.SummarySnapshot.SummaryDataPointSnapshot;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import org.toucanmast.core.configuration.FleetConfiguration;
 import org.toucanmast.core.request.Refusal;
 import org.toucanmast.core.request.RequestKind;
 
@@ -30,6 +33,10 @@
   private static final List<Double> QUANTILES = List.of(0.5, 0.75, 0.95, 0.98, 0.99, 0.999);
   private static final String CUSTOMER_LABEL = "customer";
   private static final String CODE_LABEL = "code";
+
+  /** Stands for callers that were refused before their key was known. */
+  private static final String NO_CUSTOMER = "-";
+
   private static final long NANOSECONDS_PER_MICROSECOND = 1_000;
   private final MetricRegistry registry;
   private final Counter replicaReads;
@@ -38,6 +45,8 @@
   private final Map<String, Histogram> microsecondsByCustomer = new ConcurrentHashMap<>();
   private final Map<CustomerRefusal, LongAdder> refusalsByCustomer = new ConcurrentHashMap<>();
 
+  private long revision;
+
   private record CustomerRefusal(String customer, Refusal refusal) {
     private Labels labels() {
       return Labels.of(CODE_LABEL, refusal.code(), CUSTOMER_LABEL, customer);
@@ -94,6 +103,18 @@
         .increment();
   }
 
+  /** Removes the metrics of customers and open routes that a new configuration no longer has. */
+  public void onConfiguration(FleetConfiguration configuration) {
+    if (configuration.revision() == revision) {
+      return;
+    }
+    revision = configuration.revision();
+    Set<String> names = new HashSet<>(configuration.allowances().keySet());
+    names.add(NO_CUSTOMER);
+    microsecondsByCustomer.keySet().retainAll(names);
+    refusalsByCustomer.keySet().removeIf(key -> !names.contains(key.customer()));
+  }
+
   /** Returns the metrics by customer; may be called from any thread. */
   @Override
   public MetricSnapshots collect() {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GatewayRouter.java
@@ -39,6 +39,13 @@
     nearbyVmByGroup.clear();
   }
 
+  /** Forgets all groups but the given ones. */
+  void retainGroups(Set<String> groups) {
+    endpointDataCentres.keySet().retainAll(groups);
+    vmsByGroup.keySet().retainAll(groups);
+    nearbyVmByGroup.keySet().retainAll(groups);
+  }
+
   /** Records that a group has an endpoint in a data centre. */
   void onEndpoint(String group, String dataCentre) {
     if (endpointDataCentres.computeIfAbsent(group, any -> new HashSet<>()).add(dataCentre)) {
--- a/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/GroupGateways.java
@@ -27,6 +27,9 @@
   /** Interval between checks of running and waiting statements. */
   private static final long SWEEP_INTERVAL_IN_MILLISECONDS = 25;
 
+  /** Interval between two checks for groups that neither the store nor the configuration names. */
+  private static final long FORGET_INTERVAL_IN_MILLISECONDS = 5_000;
+
   /** The interval at a VM whose gateways have no work; short enough to replace a lost primary. */
   private static final long IDLE_SWEEP_INTERVAL_IN_MILLISECONDS = 200;
 
@@ -38,6 +41,7 @@
   private final Map<String, EndpointEntry> entries = new HashMap<>();
   private final Map<String, Long> takenOut = new TreeMap<>();
   private long sweepTimer;
+  private long forgottenAt;
   private boolean frequentSweeps;
   private boolean refusing;
   private boolean closed;
@@ -171,6 +175,10 @@
     context.timerDelay().onTimer(context.clock().now());
     gateways.values().forEach(GroupGateway::sweep);
     long now = context.clock().now();
+    if (now - forgottenAt >= FORGET_INTERVAL_IN_MILLISECONDS) {
+      forgottenAt = now;
+      forgetUnknownGroups();
+    }
     frequentSweeps =
         gateways.values().stream().anyMatch(gateway -> gateway.needsFrequentSweeps(now));
     long interval =
@@ -179,6 +187,32 @@
     sweepTimer = context.vertx().setTimer(interval, fired -> startSweeping());
   }
 
+  /**
+   * Drops what is kept of groups that have no endpoints and no work and that the configuration does
+   * not name: entries of other writers may name any number of them.
+   */
+  private void forgetUnknownGroups() {
+    Set<String> known = groups();
+    known.addAll(context.configuredGroups());
+    router.retainGroups(known);
+    context.retainGroups(known);
+    gateways
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean isUnknown = !known.contains(entry.getKey()) && entry.getValue().isIdle();
+              if (isUnknown) {
+                entry.getValue().close();
+              }
+              return isUnknown;
+            });
+  }
+
+  /** Returns the number of groups for which this VM keeps a gateway. */
+  int size() {
+    return gateways.size();
+  }
+
   private void sweepFrequently() {
     if (!frequentSweeps && context.vertx().cancelTimer(sweepTimer)) {
       startSweeping();
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionContext.java
@@ -95,6 +95,7 @@
 
   void setCatalog(Catalog newCatalog) {
     catalog = newCatalog;
+    metrics.onCatalog(newCatalog);
   }
 
   /** Returns how old this VM's knowledge of each kind of the store's objects is, for the log. */
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionMetrics.java
@@ -5,9 +5,13 @@
 import com.codahale.metrics.Timer;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.toucanmast.core.access.KeyClaim;
+import org.toucanmast.core.catalog.Catalog;
 import org.toucanmast.core.scheduling.ObjectiveOutcome;
 import org.toucanmast.core.statement.ResultCode;
 import org.toucanmast.core.statement.RouteKind;
@@ -26,12 +30,53 @@
     this.registry = registry;
   }
 
+  /** Removes the metrics of customers and databases that a new configuration no longer has. */
+  void onCatalog(Catalog catalog) {
+    Set<String> customers = new HashSet<>();
+    customers.add(KeyClaim.ANONYMOUS);
+    catalog.customersByKey().values().forEach(customer -> customers.add(customer.name()));
+    removeTimers(customers);
+    outcomes
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean gone = catalog.route(entry.getKey()).isEmpty();
+              if (gone) {
+                entry.getValue().keySet().forEach(o -> registry.remove(name(entry.getKey(), o)));
+              }
+              return gone;
+            });
+  }
+
+  private void removeTimers(Set<String> customers) {
+    byCustomer
+        .keySet()
+        .removeIf(
+            customer -> {
+              boolean gone = !customers.contains(customer);
+              if (gone) {
+                registry.remove(nameOf(customer));
+              }
+              return gone;
+            });
+  }
+
+  private static String nameOf(String customer) {
+    return MetricNames.join("session.customer", customer);
+  }
+
+  private static String name(String database, ObjectiveOutcome outcome) {
+    return MetricNames.join("session.objective", database)
+        + "."
+        + outcome.name().toLowerCase(Locale.ROOT);
+  }
+
   /** Counts a statement's result, and records its latency if it succeeded. */
   void onResult(String customer, RouteKind routeKind, ResultCode code, long milliseconds) {
     registry.counter("session.results." + code.name().toLowerCase(Locale.ROOT)).inc();
     if (code == ResultCode.SUCCESS) {
       byCustomer
-          .computeIfAbsent(customer, name -> timer(MetricNames.join("session.customer", name)))
+          .computeIfAbsent(customer, name -> timer(nameOf(name)))
           .update(milliseconds, TimeUnit.MILLISECONDS);
       byRouteKind
           .computeIfAbsent(
@@ -52,13 +97,7 @@
             result.isSuccess(), result.code().guaranteesNoEffect(), leftInMilliseconds);
     outcomes
         .computeIfAbsent(database, any -> new EnumMap<>(ObjectiveOutcome.class))
-        .computeIfAbsent(
-            outcome,
-            any ->
-                registry.counter(
-                    MetricNames.join("session.objective", database)
-                        + "."
-                        + outcome.name().toLowerCase(Locale.ROOT)))
+        .computeIfAbsent(outcome, any -> registry.counter(name(database, outcome)))
         .inc();
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -1,5 +1,6 @@
 package org.toucanmast.runtime.session;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -149,6 +150,11 @@
             vertx, clock, log, localHealth, FleetLinks.TICK_INTERVAL_IN_MILLISECONDS, this::onTick);
     createMirrors(ports.model(), metrics);
     healthTimer.registerMetrics(metrics);
+    links.registerMetrics(metrics);
+    Gauge<Long> queuedLog = log::queuedCharacters;
+    metrics.registerGauge("log.queued-characters", queuedLog);
+    Gauge<Integer> groups = gateways::size;
+    metrics.registerGauge("gateway.groups", groups);
     this.usage =
         usageService(
             new UsageService.Environment(
--- a/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/vm/RequestService.java
@@ -273,6 +273,7 @@
     heartbeatService.setLeaving(stopping || takenOut);
     heartbeatService.sendHeartbeats(now);
     accepting = configuration.isReady() && !takenOut;
+    metrics.onConfiguration(configuration.current());
   }
 
   /** Returns the VMs that may order promotions; this VM is none of them once it is stopping. */
--- a/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/events/EventLogTest.java
@@ -49,6 +49,28 @@
         .contains("\"vm\":\"vm-1\"", "\"kind\":\"LEADER\"", "\"term\":4", "\"known\":true");
   }
 
+  /** Guards against a heap that is filled by long lines while the output accepts none. */
+  @Test
+  void should_drop_lines_beyond_a_length_that_wait_for_the_output() {
+    BlockedOutputStream out = new BlockedOutputStream();
+    EventLog log = new EventLog("vm-1", out);
+    String text = "x".repeat(4_000);
+    int kinds = EventKind.values().length;
+    for (int line = 0; line < 3_000; line++) {
+      log.log(EventKind.values()[line % kinds], "long", "a", text, "b", text, "c", text);
+    }
+
+    assertThat(log.queuedCharacters()).isBetween(100_000L, 1024L * 1024);
+    out.unblocked.countDown();
+    await().untilAsserted(() -> assertThat(log.queuedCharacters()).isZero());
+    await()
+        .until(
+            () -> {
+              log.log(EventKind.CLOCK, "after");
+              return out.text().contains("\"dropped\":");
+            });
+  }
+
   @Test
   void should_rename_a_field_that_has_the_name_of_a_common_field() {
     BlockedOutputStream out = new BlockedOutputStream();
--- a/runtime/src/test/java/org/toucanmast/runtime/metrics/RequestMetricsTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/metrics/RequestMetricsTest.java
@@ -12,10 +12,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.toucanmast.core.configuration.FleetConfiguration;
 import org.toucanmast.core.request.Refusal;
 import org.toucanmast.core.request.RequestKind;
 
@@ -64,6 +67,20 @@
     return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Guards against metrics of customers that come and go. */
+  @Test
+  void should_keep_no_metrics_of_customers_that_are_gone() {
+    metrics.onSucceeded("gone", RequestKind.READ, false, 1_000);
+    metrics.onRefused("gone", Refusal.FORBIDDEN);
+    metrics.onRefused("-", Refusal.UNAUTHENTICATED);
+    metrics.onConfiguration(
+        new FleetConfiguration(1, Map.of(), Map.of(), Map.of(), Set.of(), Map.of()));
+
+    assertThat(metrics.collect().stream().flatMap(each -> each.getDataPoints().stream()))
+        .hasSize(1)
+        .allMatch(point -> point.getLabels().get("customer").equals("-"));
+  }
+
   /** Two customers whose names became the same metric failed the export of all metrics. */
   @Test
   void should_export_the_metrics_of_all_customers_whatever_their_names() throws Exception {
