--- a/core/src/main/java/org/toucanmast/core/access/KeyClaim.java
+++ b/core/src/main/java/org/toucanmast/core/access/KeyClaim.java
@@ -24,6 +24,9 @@
   /** The version of a claim that is checked against every configuration. */
   public static final long NO_VERSION = -1;
 
+  /** The version of a claim that no configuration can refute. */
+  public static final long UNCHECKED_VERSION = Long.MAX_VALUE;
+
   /**
    * Returns the claim of the customer that holds a key now; empty if nobody does and the access is
    * not open.
--- a/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/fleet/StatementMessages.java
@@ -90,12 +90,14 @@
         call.getNearbyOnly());
   }
 
+  /** A VM of a build without claims states no version; its statements are not checked here. */
   private static KeyClaim<KeyFingerprint> toClaim(StatementCall call) {
+    long version = call.getConfigurationVersion();
     return new KeyClaim<>(
         new KeyFingerprint(call.getKeyHigh(), call.getKeyLow()),
         call.getCustomer(),
         call.getOpenRoute(),
-        call.getConfigurationVersion());
+        version == 0 ? KeyClaim.UNCHECKED_VERSION : version);
   }
 
   static StatementAnswer toAnswer(long callId, StatementResult result) {
