Go on with the route in force after a wait for the allowance

Cause: an operation whose route had only another timeout by the time its token came gave the token back and asked for another one; the check of an open route looked through all routes. Change: the route in force is used; open routes are looked up by name.

--- a/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/FleetConfiguration.java
@@ -60,10 +60,10 @@
 
   /** Returns whether a public route that is counted under a name reads a database. */
   public boolean hasRoute(String allowanceName, String database) {
-    return routes.values().stream()
-        .anyMatch(
-            route ->
-                route.allowanceName().equals(allowanceName) && route.database().equals(database));
+    return Route.nameOf(allowanceName)
+        .map(routes::get)
+        .filter(route -> route.database().equals(database))
+        .isPresent();
   }
 
   /** Returns whether an endpoint may be given new work. */
--- a/core/src/main/java/org/toucanmast/core/configuration/Route.java
+++ b/core/src/main/java/org/toucanmast/core/configuration/Route.java
@@ -13,9 +13,18 @@
  */
 public record Route(
     String name, String database, String prefix, Allowance allowance, long maximumAge) {
+  private static final String ALLOWANCE_PREFIX = "route:";
+
   /** Returns the name under which requests to this route are counted against its allowance. */
   public String allowanceName() {
-    return "route:" + name;
+    return ALLOWANCE_PREFIX + name;
+  }
+
+  /** Returns the name of the route that is counted under a name; empty if it is a customer's. */
+  static Optional<String> nameOf(String allowanceName) {
+    return allowanceName.startsWith(ALLOWANCE_PREFIX)
+        ? Optional.of(allowanceName.substring(ALLOWANCE_PREFIX.length()))
+        : Optional.empty();
   }
 
   /**
--- a/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/CallerSession.java
@@ -196,7 +196,7 @@
     transaction = null;
     if (ending != null && ending.isOpenAtGateway()) {
       StatementRequest request = request("-", Operation.ROLLBACK, "", Optional.empty(), ending);
-      context.sender().rollBack(ending.location(), request, ending.handle());
+      context.sender().sendInTransaction(ending.location(), request, (result, location) -> {});
     }
   }
 
--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
@@ -134,18 +134,17 @@
         .allowances()
         .admit(
             customer.get(),
-            () -> onToken(route, claim, onAdmitted, onRefused),
+            () -> onToken(claim, onAdmitted, onRefused),
             reason -> onNoToken(customer.get(), claim, reason, onAdmitted, onRefused));
   }
 
   private void onToken(
-      Route route,
       KeyClaim<KeyFingerprint> claim,
       BiConsumer<Route, KeyClaim<KeyFingerprint>> onAdmitted,
       Consumer<Refusal> onRefused) {
-    boolean isRouteInForce = route().filter(route::equals).isPresent();
-    if (isRouteInForce && claim.isHeldIn(context.catalog())) {
-      onAdmitted.accept(route, claim.confirmedBy(context.catalog()));
+    Optional<Route> route = route();
+    if (route.isPresent() && claim.isHeldIn(context.catalog())) {
+      onAdmitted.accept(route.get(), claim(route.get()).orElseThrow());
     } else {
       context.allowances().returnToken(claim.customer());
       admit(onAdmitted, onRefused);
