--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionVm.java
@@ -149,12 +149,7 @@
         new LocalHealthTimer(
             vertx, clock, log, localHealth, FleetLinks.TICK_INTERVAL_IN_MILLISECONDS, this::onTick);
     createMirrors(ports.model(), metrics);
-    healthTimer.registerMetrics(metrics);
-    links.registerMetrics(metrics);
-    Gauge<Long> queuedLog = log::queuedCharacters;
-    metrics.registerGauge("log.queued-characters", queuedLog);
-    Gauge<Integer> groups = gateways::size;
-    metrics.registerGauge("gateway.groups", groups);
+    registerMetrics(metrics);
     this.usage =
         usageService(
             new UsageService.Environment(
@@ -163,6 +158,15 @@
     configure(context, metrics);
   }
 
+  private void registerMetrics(MetricRegistry metrics) {
+    healthTimer.registerMetrics(metrics);
+    links.registerMetrics(metrics);
+    Gauge<Long> queuedLog = log::queuedCharacters;
+    metrics.registerGauge("log.queued-characters", queuedLog);
+    Gauge<Integer> groups = gateways::size;
+    metrics.registerGauge("gateway.groups", groups);
+  }
+
   private StatementSender statementSender(GatewayContext context, long incarnation) {
     VmRun localRun = new VmRun(settings.name(), incarnation);
     boolean readsNearby = settings.features().contains(Feature.NEARBY_READS);
