Promise a repeat to a caller whose route becomes open as its key is withdrawn

Cause: a transaction whose key was withdrawn was refused with NOAUTH although the caller may use the database now, as an anonymous one. Change: it is answered ABORTED, as for a key that moved.

--- a/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/session/SessionAccess.java
@@ -78,14 +78,14 @@
 
   /**
    * Returns why the next statement of a transaction is refused; empty if the customer for whom the
-   * transaction runs still holds the key. A key that moved promises that nothing is kept, so that
-   * the caller can repeat the transaction for the customer that holds it now.
+   * transaction runs still holds the key. A caller that may use the database now is promised that
+   * nothing is kept, so that it can repeat the transaction as whoever it is now.
    */
   Optional<Refusal> refusalOf(SessionTransaction transaction) {
     return switch (transaction.claim().statusIn(context.catalog())) {
       case HELD -> Optional.empty();
       case MOVED -> Optional.of(MOVED_KEY);
-      case WITHDRAWN -> Optional.of(WITHDRAWN_KEY);
+      case WITHDRAWN -> Optional.of(refusal().isEmpty() ? MOVED_KEY : WITHDRAWN_KEY);
     };
   }
 
