Make the statements of the link tests in one place

Cause: five tests built the same statement. Change: Statements holds it; the tests check what they did.

--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FleetLinksTest.java
@@ -9,9 +9,6 @@
 import java.net.ServerSocket;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -22,15 +19,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.toucanmast.core.access.KeyClaim;
-import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.link.ConnectBackoff;
 import org.toucanmast.core.link.LinkUse;
 import org.toucanmast.core.membership.VmRun;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
-import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.clock.VmClock;
@@ -45,24 +39,7 @@
 /** Tests links between two VMs on the loopback interface. */
 @Timeout(30)
 class FleetLinksTest {
-  private static final StatementRequest WRITE =
-      new StatementRequest(
-          "request",
-          "group",
-          new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
-          Operation.WRITE,
-          "WRITE x y",
-          Optional.empty(),
-          Map.of(),
-          RouteKind.PRIMARY,
-          0,
-          Position.NONE,
-          StatementRequest.NO_TRANSACTION,
-          false,
-          1,
-          1_000,
-          OptionalLong.empty(),
-          false);
+  private static final StatementRequest WRITE = Statements.request(Operation.WRITE, "WRITE x y");
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final List<String> heartbeats = new CopyOnWriteArrayList<>();
@@ -317,23 +294,7 @@
   }
 
   private static StatementRequest inTransaction(long transaction, String text) {
-    return new StatementRequest(
-        "request",
-        "group",
-        new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
-        Operation.TRANSACTION_WRITE,
-        text,
-        Optional.empty(),
-        Map.of(),
-        RouteKind.PRIMARY,
-        0,
-        Position.NONE,
-        transaction,
-        false,
-        1,
-        1_000,
-        OptionalLong.empty(),
-        false);
+    return Statements.request(Operation.TRANSACTION_WRITE, text, transaction);
   }
 
   /**
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameWriterTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameWriterTest.java
@@ -4,18 +4,12 @@
 
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.toucanmast.core.access.KeyClaim;
-import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
-import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.schema.FleetFrame;
@@ -33,23 +27,7 @@
   private static final List<String> LARGE_ROWS = Collections.nCopies(2, LARGE);
 
   private static StatementRequest request(Operation operation) {
-    return new StatementRequest(
-        "request",
-        "group",
-        new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
-        operation,
-        "text",
-        Optional.empty(),
-        Map.of(),
-        RouteKind.PRIMARY,
-        0,
-        Position.NONE,
-        StatementRequest.NO_TRANSACTION,
-        false,
-        1,
-        1_000,
-        OptionalLong.empty(),
-        false);
+    return Statements.request(operation, "text");
   }
 
   private static StatementAnswer answer(Operation operation, ResultCode code) {
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/LinkOutputTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/LinkOutputTest.java
@@ -12,9 +12,6 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,13 +21,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.toucanmast.core.access.KeyClaim;
-import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.group.Position;
 import org.toucanmast.core.link.OutputBudget;
 import org.toucanmast.core.statement.Operation;
 import org.toucanmast.core.statement.ResultCode;
-import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.core.statement.StatementResult;
 import org.toucanmast.runtime.events.EventLog;
@@ -49,24 +43,7 @@
           .setKind("config")
           .addObjects(MirrorObject.newBuilder().setContent("x".repeat(1024 * 1024)))
           .build();
-  private static final StatementRequest READ =
-      new StatementRequest(
-          "id",
-          "group",
-          new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
-          Operation.READ,
-          "READ x",
-          Optional.empty(),
-          Map.of(),
-          RouteKind.PRIMARY,
-          0,
-          Position.NONE,
-          StatementRequest.NO_TRANSACTION,
-          false,
-          1,
-          1_000,
-          OptionalLong.empty(),
-          false);
+  private static final StatementRequest READ = Statements.request(Operation.READ, "READ x");
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final OutputBudget budget = new OutputBudget(MAXIMUM_BYTES);
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/StatementMessagesTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/StatementMessagesTest.java
@@ -3,39 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
-import org.toucanmast.core.access.KeyClaim;
-import org.toucanmast.core.access.KeyFingerprint;
 import org.toucanmast.core.catalog.Catalog;
-import org.toucanmast.core.group.Position;
 import org.toucanmast.core.statement.Operation;
-import org.toucanmast.core.statement.RouteKind;
 import org.toucanmast.core.statement.StatementRequest;
 import org.toucanmast.schema.StatementCall;
 
 class StatementMessagesTest {
-  private static final KeyClaim<KeyFingerprint> CLAIM =
-      new KeyClaim<>(KeyFingerprint.of("key"), "customer", true, 7);
-  private static final StatementRequest REQUEST =
-      new StatementRequest(
-          "id",
-          "group",
-          CLAIM,
-          Operation.WRITE,
-          "WRITE a 1",
-          Optional.empty(),
-          Map.of(),
-          RouteKind.PRIMARY,
-          0,
-          Position.NONE,
-          StatementRequest.NO_TRANSACTION,
-          false,
-          1,
-          1_000,
-          OptionalLong.empty(),
-          false);
+  private static final StatementRequest REQUEST = Statements.request(Operation.WRITE, "WRITE a 1");
 
   @Test
   void should_pass_on_for_whom_a_statement_runs_and_by_which_key() {
