Name the event of a watch without changes in plain words

Cause: "not to be had" is no usual term. Change: "changes not available from the store"; a test passes on a claim of an open route as well.

--- a/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
+++ b/runtime/src/main/java/org/toucanmast/runtime/store/StoreWatch.java
@@ -335,7 +335,7 @@
     refusedHistories++;
     log.log(
         EventKind.DEPENDENCY,
-        "changes not to be had from the store",
+        "changes not available from the store",
         "objects",
         kind.name(),
         "reason",
--- a/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
+++ b/runtime/src/test/java/org/toucanmast/runtime/fleet/FrameReaderTest.java
@@ -87,7 +87,7 @@
         new StatementRequest(
             "id",
             "group",
-            new KeyClaim<>(KeyFingerprint.of("key"), "customer", false, 1),
+            new KeyClaim<>(KeyFingerprint.of("key"), "customer", true, 7),
             Operation.TRANSACTION_WRITE,
             "item data",
             Optional.of(new PreparedShape(Access.WRITE, "q")),
